--- a/nickelcross/brain.py
+++ b/pinspread/decide.py
@@ -1,4 +1,4 @@
-"""The decisions of nickelcross. Settings, events and actions are defined in nickelcross/interface.py.
+"""The decisions of pinspread. Settings, events and actions are defined in pinspread/interface.py.
 
 Per destination, a token bucket that failed retries drain and successes refill bounds retries; retries wait
 by jittered exponential backoff; first attempts go out; freed slots go in turns, fewest calls out first.
@@ -10,8 +10,8 @@
 from heapq import heappop, heappush
 from math import exp, sqrt
 
-from nickelcross import interface as api
-from nickelcross.state import Call, Destination, Endpoint, Line, Message
+from pinspread import interface as api
+from pinspread.state import Call, Destination, Endpoint, Line, Message
 
 MS = 1_000_000
 SECOND = 1_000 * MS
--- a/nickelcross/benchlink.py
+++ b/pinspread/simhost.py
@@ -1,9 +1,9 @@
-"""Hosts senders on the simulator's wire: `python -m nickelcross.benchlink`. No decisions."""
+"""Hosts senders on the simulator's wire: `python -m pinspread.simhost`. No decisions."""
 
 import sys
 
-from nickelcross import wire
-from nickelcross.brain import Sender
+from pinspread import wire
+from pinspread.decide import Sender
 
 
 def read_exactly(stream, size, what, may_end=False):
@@ -74,7 +74,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"nickelcross: {error}", file=sys.stderr)
+        print(f"pinspread: {error}", file=sys.stderr)
         return 1
     except (BrokenPipeError, KeyboardInterrupt):
         return 1
--- a/nickelcross/state.py
+++ b/pinspread/state.py
@@ -1,6 +1,6 @@
 """What a sender remembers: messages, calls, limits, endpoints, destinations. No decisions."""
 
-from nickelcross.interface import ListState
+from pinspread.interface import ListState
 
 
 class Message:
--- a/nickelcross/wire.py
+++ b/pinspread/wire.py
@@ -8,7 +8,7 @@
 import struct
 from dataclasses import dataclass
 
-from nickelcross import interface as api
+from pinspread import interface as api
 
 BATCH_HEADER = struct.Struct(">IIQ")  # records, bytes, clock
 REPLY_HEADER = struct.Struct(">II")  # bytes, records
--- a/tests/test_brain.py
+++ b/tests/test_decide.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from nickelcross import brain
-from nickelcross import interface as api
-from nickelcross.brain import MS, SECOND, Sender
+from pinspread import decide
+from pinspread import interface as api
+from pinspread.decide import MS, SECOND, Sender
 
 OK, FULL, ERROR = api.Verdict.OK, api.Verdict.FULL, api.Verdict.ERROR
 TIMEOUT, CONNECT_FAILED = api.Verdict.TIMEOUT, api.Verdict.CONNECT_FAILED
@@ -91,7 +91,7 @@
 
 def test_bucket_starts_full_and_only_failed_retries_cost():
     desk = Desk()
-    assert desk.bucket.tokens == brain.BUCKET_CAP == 10
+    assert desk.bucket.tokens == decide.BUCKET_CAP == 10
     desk.take()
     desk.end(1, CONNECT_FAILED)
     assert desk.bucket.tokens == 10  # a first attempt costs nothing
@@ -110,10 +110,10 @@
         desk.take()
         desk.end(n)
     assert desk.bucket.tokens == pytest.approx(4.0)
-    desk.bucket.tokens = brain.BUCKET_CAP
+    desk.bucket.tokens = decide.BUCKET_CAP
     desk.take()
     desk.end(11)
-    assert desk.bucket.tokens == brain.BUCKET_CAP
+    assert desk.bucket.tokens == decide.BUCKET_CAP
 
 
 def test_empty_bucket_stops_retries_but_not_first_attempts():
@@ -500,7 +500,7 @@
     desk.take()
     desk.end(1, FULL)
     assert desk.take() == []
-    assert desk.sender.endpoints["a"].line.rate >= brain.LEAST_RATE
+    assert desk.sender.endpoints["a"].line.rate >= decide.LEAST_RATE
 
 
 def test_routes_apart_wait_alone():
@@ -516,7 +516,7 @@
 
 SCRIPT = """
 import hashlib, sys; sys.path.insert(0, "tests")
-from test_brain import *
+from test_decide import *
 desk = Desk(endpoints=(("a", 1), ("b", 1), ("c", 2)))
 log = []
 for n in range(300):
@@ -555,10 +555,10 @@
 
 
 def test_the_module_stays_within_its_limits():
-    lines = Path(brain.__file__).read_text().splitlines()
+    lines = Path(decide.__file__).read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 710
     assert max(map(len, lines)) <= 110
-    assert "nickelcross/interface.py" in lines[0]
+    assert "pinspread/interface.py" in lines[0]
 
 
 @pytest.mark.parametrize(("senders", "closes"), [(2, False), (200, True)])
--- a/tests/test_benchlink.py
+++ b/tests/test_simhost.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from nickelcross import benchlink, wire
+from pinspread import simhost, wire
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = """az=0
@@ -44,7 +44,7 @@
 
 def run(data):
     return subprocess.run(
-        [sys.executable, "-m", "nickelcross.benchlink"], input=data, capture_output=True, cwd=ROOT
+        [sys.executable, "-m", "pinspread.simhost"], input=data, capture_output=True, cwd=ROOT
     )
 
 
@@ -90,7 +90,7 @@
 
 
 def test_exception_in_the_decisions_becomes_a_fault(monkeypatch):
-    monkeypatch.setattr(benchlink.Sender, "handle", lambda *_: 1 / 0)
+    monkeypatch.setattr(simhost.Sender, "handle", lambda *_: 1 / 0)
     sink = io.BytesIO()
-    benchlink.serve(io.BytesIO(frame(ON, configure())), sink)
+    simhost.serve(io.BytesIO(frame(ON, configure())), sink)
     assert wire.fault("ZeroDivisionError: division by zero") in sink.getvalue()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from nickelcross import interface as api
-from nickelcross import wire
+from pinspread import interface as api
+from pinspread import wire
 
 
 def records(*texts):
