--- /dev/null
+++ b/pinspread/config/__init__.py
@@ -0,0 +1,1 @@
+"""What a courier is told: its settings, and one application's configuration file."""
--- /dev/null
+++ b/pinspread/core/courier.py
@@ -0,0 +1,329 @@
+"""The core: collects events, lets the module decide once a turn, and performs what it decides."""
+
+from heapq import heappop, heappush
+from itertools import count
+
+import anyio
+
+from pinspread import interface as api
+from pinspread.core.journal import JournalFull
+from pinspread.core.log import log
+from pinspread.core.transactions import NEVER_RAN, Branch, Final, Outcome, State, Transaction
+
+SECOND_US = 1_000_000
+BUSY_MS = 1000  # when to come back if there is no room: about the wait that callers choose themselves
+PROBE_US = 1_500_000
+DRAIN_US = 3_200_000  # after SIGTERM: the process is killed 3.7 s after it
+LINGER_US = 500_000  # new callers keep arriving for a while and must hear a busy answer
+ENDED_KEPT = 4096  # ids remembered, for callers that send a request once more on a new connection
+
+
+class Busy(Exception):
+    """A busy answer: nothing was taken on; come back after `after_ms`."""
+
+    def __init__(self, after_ms: int, why: str):
+        super().__init__(why)
+        self.after_ms = after_ms
+
+
+class Courier:
+    """One courier: transactions in, branches out, one final answer for each."""
+
+    def __init__(self, sender, settings, clock, journal):
+        self.sender = sender
+        self.settings = settings  # config.settings.Told
+        self.clock = clock
+        self.journal = journal
+        self.fronts = {}
+        self.transports = {}
+        self.subscribe = None  # asks discovery for the list's changes
+        self.tasks = None
+        self.open = {}  # number -> transaction without a final answer
+        self.ids = {}  # id -> its transaction, for those that are not over
+        self.past = {}  # ids that are over, oldest first
+        self.next_hops = {}
+        self.told_us = {}  # dest -> until when it told this courier to wait
+        self.notified = {}  # key -> how many of its ends are still to be heard
+        self.branches = {}  # (number, branch) -> Branch
+        self.stopping = False
+        self.numbers = count(1)
+        self.inbox = []
+        self.timers = []
+        self.wake = anyio.Event()
+        self.calm = anyio.Event()
+
+    # --- what fronts call -------------------------------------------------------------------------
+
+    def recover(self):
+        """Take up again all that the journal says is owed."""
+        held = self.journal.open()
+        self.numbers = count(max((t.number for t in held), default=0) + 1)
+        for t in held:
+            self.ids[t.id] = t
+            if t.live_us:
+                # Danger: it was out when the process ended, and may have run or still run.
+                t.may_run_us = t.may_run_us or t.live_us
+                t.live_us = 0
+            if t.final is None and not self.settings.knows(t.cls, t.tenant):
+                t.final = Final(State.FAILED)  # the settings have changed: nothing can be decided for it
+            if t.final is not None:
+                self.notified[t.key] = self.notified.get(t.key, 0) + 1
+            else:
+                self.open[t.number] = t
+                self._hand_to_module(t)
+        log("recovered", held=len(self.open), notices=len(held) - len(self.open))
+
+    def take(self, transaction: Transaction):
+        """Take a transaction on: it is in the journal when this returns. Raises Busy."""
+        if transaction.id in self.ids or transaction.id in self.past:
+            return  # sent once more on a new connection: it is taken on already
+        if self.stopping:
+            raise Busy(self.settings.max_come_back_ms, "shutting down")
+        if len(self.open) >= self.settings.module.most_held:
+            raise Busy(BUSY_MS, "holds all it may")
+        transaction.number = next(self.numbers)
+        try:
+            self.journal.taken(transaction)
+        except JournalFull as error:
+            raise Busy(BUSY_MS, str(error)) from None
+        self.open[transaction.number] = self.ids[transaction.id] = transaction
+        self._hand_to_module(transaction)
+        log("taken", id=transaction.id, cls=transaction.cls, dest=transaction.dest, n=transaction.number)
+
+    def withdraw(self, transaction: Transaction):
+        """Nobody wants it any more, and nothing is owed for it."""
+        if self.open.pop(transaction.number, None) is not None:
+            self.post(api.ClientGone(transaction.number))
+            self._over(transaction)
+
+    def learn(self, scope, next_hops):
+        """News of the list of endpoints: whole or changes; a hop that is gone comes as not usable."""
+        if scope in (api.ListScope.FULL, api.ListScope.CACHED):
+            for hop in self.next_hops.values():
+                hop.usable = False
+        entries = []
+        for hop, state in next_hops:
+            self.next_hops[hop.id] = hop
+            hop.usable = state is api.ListState.READY
+            entries.append(api.ListEntry(hop.id, hop.dest, hop.zone, hop.kind, state, hop.weight))
+        self.post(api.ListChanged(scope, entries))
+
+    def post(self, event):
+        """Have the module told in the next turn."""
+        self.inbox.append(event)
+        self.wake.set()
+
+    # --- the turn loop ----------------------------------------------------------------------------
+
+    async def run(self):
+        """Run turns until cancelled."""
+        async with anyio.create_task_group() as self.tasks:
+            for t in self.ids.values():
+                if t.final is not None:
+                    self.tasks.start_soon(self._notify, t)
+            while True:
+                due_us = self.timers[0][0] if self.timers else None
+                with anyio.move_on_after(None if due_us is None else self._seconds_to(due_us)):
+                    await self.wake.wait()
+                self.wake = anyio.Event()
+                self.turn()
+
+    def turn(self):
+        """One turn: everything that has happened goes to the module, and its actions are performed."""
+        now_us = self.clock.now()
+        events, self.inbox = self.inbox, []
+        while self.timers and self.timers[0][0] <= now_us:
+            events.append(api.TimerDue(heappop(self.timers)[1]))
+        if events:
+            for action in self.sender.handle(now_us * 1000, events):
+                self._perform(action, now_us)
+        if self.stopping and not self.branches:
+            self.calm.set()
+
+    def _seconds_to(self, at_us):
+        return max(0, at_us - self.clock.now()) / SECOND_US
+
+    def _perform(self, action, now_us):
+        kind = type(action)
+        if kind is api.SetTimer:
+            heappush(self.timers, (now_us + max(1, action.delay_ns // 1000), action.tag))
+        elif kind is api.Send:
+            if not self.stopping:  # what is not sent now stays in the journal for the next start
+                self._start_branch(action, now_us)
+        elif kind is api.Refuse:
+            self._end(self.open[action.request], Final(State.RETURNED, -(-action.come_back_ns // 1_000_000)))
+        elif kind is api.Fail:
+            self._end(self.open[action.request], Final(State.FAILED))
+        elif kind is api.Probe:
+            if not self.stopping:
+                self.tasks.start_soon(self._probe, self.next_hops[action.endpoint], now_us)
+        elif kind is api.Disconnect:
+            hop = self.next_hops[action.endpoint]
+            self.transports[hop.scheme].disconnect(hop)
+        elif kind is api.Subscribe:
+            self.subscribe()
+
+    # --- branches ---------------------------------------------------------------------------------
+
+    def _start_branch(self, action, now_us):
+        transaction = self.open[action.request]
+        hop = self.next_hops[action.endpoint]
+        branch = Branch(transaction, transaction.branches, hop, now_us, action.timeout_ns // 1000)
+        branch.clear = lambda: self._clear(branch)
+        transaction.branches += 1
+        self.branches[transaction.number, branch.number] = branch
+        self.tasks.start_soon(self._run_branch, branch)
+
+    async def _run_branch(self, branch):
+        transaction = branch.transaction
+        if transaction.key in self.notified and transaction.key:
+            # Danger: an earlier message of the key that ended by a notice is over once that is answered.
+            with anyio.move_on_after(self._seconds_to(branch.ends_us())):
+                while transaction.key in self.notified:
+                    await anyio.sleep(0.005)
+        outcome = await self.transports[branch.next_hop.scheme].send(branch)
+        self._branch_ended(branch, outcome)
+
+    def _clear(self, branch):
+        """Asked right before a branch's first byte: empty if it may be written, else why not."""
+        # Danger: dialling takes time, and what was allowed when the module decided may not be any more.
+        transaction, hop = branch.transaction, branch.next_hop
+        why = self._barred(hop)
+        if transaction.number not in self.open:
+            why = "over"
+        elif self.clock.now() >= min(branch.ends_us(), self.clock.monotonic(transaction.until_unix_us)):
+            why = "out of time"
+        elif transaction.key and transaction.key in self.notified:
+            why = "its key waits for a notice"
+        elif transaction.live_us:
+            why = "another branch is out"  # never two copies, whatever the module says
+        elif hop.dest != transaction.dest:
+            why = "not its partner"
+        if not why:
+            try:
+                self.journal.branch_started(transaction, branch.number, self.clock.unix(self.clock.now()))
+            except JournalFull as error:
+                why = str(error)
+        return why
+
+    def _barred(self, hop):
+        """Why nothing may go to a next hop at present, whatever it is."""
+        if self.stopping:
+            return "shutting down"
+        if not self.next_hops[hop.id].usable:
+            return "drains or is gone"
+        if self.told_us.get(hop.dest, 0) > self.clock.now():
+            return "told to wait"
+        return ""
+
+    def _branch_ended(self, branch, outcome: Outcome):
+        transaction, now_us = branch.transaction, self.clock.now()
+        del self.branches[transaction.number, branch.number]
+        self._heed(branch.next_hop, outcome, now_us)
+        was_open = transaction.number in self.open
+        log(
+            "branch",
+            id=transaction.id,
+            n=branch.number,
+            hop=branch.next_hop.id,
+            verdict=outcome.verdict.name,
+            took_us=now_us - branch.started_us,
+            wait_us=outcome.wait_us,
+            note=outcome.note,
+        )
+        if was_open and outcome.verdict is api.Verdict.OK:
+            self._end(transaction, Final(State.DELIVERED))
+        elif was_open and outcome.over:
+            del self.open[transaction.number]
+            self._over(transaction)
+        elif was_open and transaction.live_us:
+            self._record(
+                self.journal.branch_ended, transaction, branch.number, outcome.verdict not in NEVER_RAN
+            )
+        self.post(
+            api.AttemptEnded(
+                transaction.number,
+                branch.number,
+                branch.next_hop.id,
+                outcome.verdict,
+                (now_us - branch.started_us) * 1000,
+                transaction.number not in self.open,
+                outcome.wait_us * 1000,
+            )
+        )
+
+    def _heed(self, hop, outcome, now_us):
+        if outcome.wait_us:
+            self.told_us[hop.dest] = max(self.told_us.get(hop.dest, 0), now_us + outcome.wait_us)
+
+    async def _probe(self, hop, started_us):
+        with anyio.move_on_after(PROBE_US / SECOND_US) as limit:
+            outcome = await self.transports[hop.scheme].probe(hop, lambda: self._barred(hop))
+        if limit.cancelled_caught:
+            outcome = Outcome(api.Verdict.TIMEOUT)
+        now_us = self.clock.now()
+        self._heed(hop, outcome, now_us)
+        log("probe", hop=hop.id, verdict=outcome.verdict.name, note=outcome.note)
+        self.post(api.ProbeEnded(hop.id, outcome.verdict, (now_us - started_us) * 1000))
+
+    # --- ends -------------------------------------------------------------------------------------
+
+    def _end(self, transaction, final):
+        """Give the final answer at once; it is over when its front says that it was heard."""
+        del self.open[transaction.number]
+        log("final", id=transaction.id, state=final.state.name, after_ms=final.after_ms)
+        if final.state is State.DELIVERED and not self.fronts[transaction.front].tells_delivery:
+            self._over(transaction)
+            return
+        transaction.final = final
+        self._record(self.journal.final, transaction, final)
+        self.notified[transaction.key] = self.notified.get(transaction.key, 0) + 1
+        self.tasks.start_soon(self._notify, transaction)
+
+    async def _notify(self, transaction):
+        await self.fronts[transaction.front].notify(transaction, transaction.final)
+        self.notified[transaction.key] -= 1
+        if not self.notified[transaction.key]:
+            del self.notified[transaction.key]
+        self._over(transaction)
+
+    def _over(self, transaction):
+        self._record(self.journal.ended, transaction)
+        del self.ids[transaction.id]
+        self.past[transaction.id] = None
+        if len(self.past) > ENDED_KEPT:
+            del self.past[next(iter(self.past))]
+
+    def _record(self, write, *what):
+        try:
+            write(*what)
+        except JournalFull as error:
+            log("journal_full", error=str(error))  # the next rewrite holds what memory holds
+
+    def _hand_to_module(self, t):
+        clock = self.clock
+        self.post(
+            api.MessageTaken(
+                request=t.number,
+                cls=self.settings.classes[t.cls],
+                destination=t.dest,
+                deadline_ns=clock.monotonic(t.until_unix_us) * 1000,
+                key=t.key,
+                tenant=self.settings.tenants[t.tenant],
+                attempts=t.branches,
+                may_run_ns=clock.monotonic(t.may_run_us) * 1000 if t.may_run_us else 0,
+            )
+        )
+
+    # --- the end of the process -------------------------------------------------------------------
+
+    async def stop(self):
+        """Busy answers from now on; return when all that is out has ended, or time is short."""
+        log("stopping", out=len(self.branches), held=len(self.open))
+        self.stopping = True
+        self.wake.set()
+        with anyio.move_on_after(DRAIN_US / SECOND_US):
+            await anyio.sleep(LINGER_US / SECOND_US)
+            await self.calm.wait()
+            while any(t.final for t in self.ids.values()):
+                await anyio.sleep(0.005)
--- /dev/null
+++ b/pinspread/core/journal.py
@@ -0,0 +1,198 @@
+"""The journal: append-only checksummed records of what is owed, in the folder that lasts.
+
+A record is its payload's length and CRC-32 (little-endian u32 each), then the payload: a type byte, the
+transaction's number (u64) and the type's fields. Nothing is synced: written data outlasts the process.
+"""
+
+import os
+import struct
+import zlib
+from pathlib import Path
+
+import orjson
+
+from pinspread.core.transactions import Final, State, Transaction
+
+_HEAD = struct.Struct("<II")
+_NUMBER = struct.Struct("<BQ")
+_BRANCH = struct.Struct("<BQBQ")  # number, when it was written (Unix microseconds)
+_BRANCH_END = struct.Struct("<BQBB")  # number, whether it may have run
+_FINAL = struct.Struct("<BQBI")  # state, after_ms
+_SUMMARY = struct.Struct("<BQBQQ")  # branches, first that may have run, the one that is out
+_TAKEN = struct.Struct("<BQH")  # length of the JSON that comes before the body
+TAKEN, BRANCH, BRANCH_END, FINAL, ENDED, SUMMARY = range(1, 7)
+
+SMALL = 2 * _HEAD.size + _SUMMARY.size + _FINAL.size  # what a live transaction adds to its TAKEN record
+MOST_RECORD = 1 << 20
+
+
+class JournalFull(Exception):
+    """There is no room for another transaction."""
+
+
+class Journal:
+    """One file, rewritten with what is still owed when it has grown; old and new together stay in bounds."""
+
+    def __init__(self, folder: str, limit_bytes: int):
+        self.path = Path(folder) / "journal"
+        self.fresh = Path(folder) / "journal.new"
+        # Danger: while it is rewritten both files count, each in whole blocks; the sum must stay under.
+        self.most = limit_bytes * 48 // 100
+        self.most_live = self.most * 9 // 10  # the rest is for branches and ends, which are never refused
+        self.size = 0
+        self.live_bytes = 0
+        self.live: dict[int, Transaction] = {}
+        self.sizes: dict[int, int] = {}
+        self.fd = -1
+
+    def open(self) -> list[Transaction]:
+        """Recover what is owed, in the order taken, and start a fresh file with it."""
+        self.fresh.unlink(missing_ok=True)  # never renamed: the old file is still whole
+        data = self.path.read_bytes() if self.path.exists() else b""
+        for payload in records(data):
+            self._replay(payload)
+        self.live_bytes = sum(self.sizes.values())
+        self._rewrite()
+        return list(self.live.values())
+
+    def close(self):
+        os.close(self.fd)
+
+    # --- records ----------------------------------------------------------------------------------
+
+    def taken(self, transaction: Transaction):
+        """Before the caller is told that it was taken on."""
+        record = _taken(transaction)
+        need = len(record) + SMALL
+        if self.live_bytes + need > self.most_live:
+            raise JournalFull("what is owed fills the journal")
+        self._append(record)
+        self._hold(transaction, need)
+
+    def branch_started(self, transaction: Transaction, number: int, unix_us: int):
+        """Before the last byte of its call is written."""
+        transaction.live_us = unix_us
+        transaction.branches = max(transaction.branches, number + 1)
+        self._append(_record(_BRANCH.pack(BRANCH, transaction.number, number, unix_us)))
+
+    def branch_ended(self, transaction: Transaction, number: int, may_have_run: bool):
+        """When a branch that was written has an outcome that does not end its transaction."""
+        _end_branch(transaction, may_have_run)
+        self._append(_record(_BRANCH_END.pack(BRANCH_END, transaction.number, number, may_have_run)))
+
+    def final(self, transaction: Transaction, final: Final):
+        """When the final answer is decided and still has to be heard."""
+        transaction.final = final
+        self._append(_record(_FINAL.pack(FINAL, transaction.number, final.state, final.after_ms)))
+
+    def ended(self, transaction: Transaction):
+        """When nothing is owed any more."""
+        if self.live.pop(transaction.number, None) is None:
+            return
+        self.live_bytes -= self.sizes.pop(transaction.number)
+        self._append(_record(_NUMBER.pack(ENDED, transaction.number)))
+
+    # --- the file ---------------------------------------------------------------------------------
+
+    def _hold(self, transaction, need):
+        self.live[transaction.number] = transaction
+        self.sizes[transaction.number] = need
+        self.live_bytes += need
+
+    def _append(self, record):
+        if self.size + len(record) > self.most:
+            self._rewrite()
+        try:
+            written = os.write(self.fd, record)
+        except OSError as error:
+            raise JournalFull(str(error)) from None
+        if written < len(record):
+            # Danger: replay ends at a torn record, and all that was appended behind it would be lost.
+            os.ftruncate(self.fd, self.size)
+            raise JournalFull("a record was cut short")
+        self.size += written
+
+    def _rewrite(self):
+        parts = []
+        for transaction in self.live.values():
+            parts.append(_taken(transaction))
+            t = transaction
+            if t.branches:
+                parts.append(_record(_SUMMARY.pack(SUMMARY, t.number, t.branches, t.may_run_us, t.live_us)))
+            if t.final:
+                parts.append(_record(_FINAL.pack(FINAL, t.number, t.final.state, t.final.after_ms)))
+        data = b"".join(parts)
+        fd = -1
+        try:
+            fd = os.open(self.fresh, os.O_CREAT | os.O_TRUNC | os.O_WRONLY | os.O_APPEND, 0o600)
+            if os.write(fd, data) < len(data):
+                raise OSError("the journal could not be rewritten")
+        except OSError as error:
+            if fd >= 0:
+                os.close(fd)
+            self.fresh.unlink(missing_ok=True)
+            raise JournalFull(str(error)) from None
+        os.rename(self.fresh, self.path)
+        if self.fd >= 0:
+            os.close(self.fd)
+        self.fd = fd
+        self.size = len(data)
+
+    def _replay(self, payload):
+        kind = payload[0]
+        if kind == TAKEN:
+            _, number, size = _TAKEN.unpack_from(payload)
+            at = _TAKEN.size
+            told = orjson.loads(payload[at : at + size])
+            body = bytes(payload[at + size :])
+            self._hold(Transaction(number, body=body, **told), _HEAD.size + len(payload) + SMALL)
+            return
+        _, number = _NUMBER.unpack_from(payload)
+        transaction = self.live.get(number)
+        if transaction is None:
+            return
+        if kind == BRANCH:
+            *_, n, unix_us = _BRANCH.unpack(payload)
+            transaction.branches = max(transaction.branches, n + 1)
+            transaction.live_us = unix_us
+        elif kind == BRANCH_END:
+            _end_branch(transaction, _BRANCH_END.unpack(payload)[3])
+        elif kind == FINAL:
+            *_, state, after_ms = _FINAL.unpack(payload)
+            transaction.final = Final(State(state), after_ms)
+        elif kind == SUMMARY:
+            *_, transaction.branches, transaction.may_run_us, transaction.live_us = _SUMMARY.unpack(payload)
+        elif kind == ENDED:
+            del self.live[number], self.sizes[number]
+
+
+def records(data):
+    """The payloads of the whole records at the start of the data; a torn tail ends them."""
+    view = memoryview(data)
+    at = 0
+    while at + _HEAD.size <= len(view):
+        size, checksum = _HEAD.unpack_from(view, at)
+        payload = view[at + _HEAD.size : at + _HEAD.size + size]
+        if not 0 < size <= MOST_RECORD or len(payload) < size or zlib.crc32(payload) != checksum:
+            return
+        yield payload
+        at += _HEAD.size + size
+
+
+def _record(payload):
+    return _HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def _taken(t):
+    told = {
+        name: getattr(t, name)
+        for name in ("id", "cls", "tenant", "dest", "key", "idempotency", "until_unix_us", "front", "reply")
+    }
+    text = orjson.dumps(told)
+    return _record(_TAKEN.pack(TAKEN, t.number, len(text)) + text + t.body)
+
+
+def _end_branch(transaction, may_have_run):
+    if may_have_run and not transaction.may_run_us:
+        transaction.may_run_us = transaction.live_us
+    transaction.live_us = 0
--- /dev/null
+++ b/pinspread/core/ports.py
@@ -0,0 +1,27 @@
+"""The core's small interfaces to whatever speaks a wire."""
+
+from typing import Protocol
+
+from pinspread.core.transactions import Branch, Final, NextHop, Outcome, Transaction
+
+
+class Transport(Protocol):
+    """Reaches next hops of one scheme."""
+
+    async def send(self, branch: Branch) -> Outcome:
+        """Run one branch, once; `branch.clear()` is asked right before the first byte is written."""
+
+    async def probe(self, next_hop: NextHop, clear) -> Outcome:
+        """Ask a next hop how it is."""
+
+    def disconnect(self, next_hop: NextHop) -> None:
+        """Close idle connections to it."""
+
+
+class Front(Protocol):
+    """Takes transactions and tells their callers how they ended."""
+
+    tells_delivery: bool  # whether DELIVERED is told too
+
+    async def notify(self, transaction: Transaction, final: Final) -> None:
+        """Tell the end; returns once it was heard, and retries until then."""
--- /dev/null
+++ b/pinspread/core/transactions.py
@@ -0,0 +1,87 @@
+"""Transactions and their branches: what a caller handed in, and one attempt at delivering it."""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from pinspread.interface import Verdict
+
+
+class State(IntEnum):
+    """How a transaction ended."""
+
+    DELIVERED = 0
+    FAILED = 1
+    RETURNED = 2  # undelivered; handing it in again is harmless
+
+
+@dataclass(slots=True)
+class Final:
+    """A final answer; `after_ms` tells when to come back after RETURNED."""
+
+    state: State
+    after_ms: int = 0
+
+
+@dataclass(slots=True)
+class Transaction:
+    """One message that was taken on, until its final answer has been heard."""
+
+    number: int  # the module's name for it: the order in which it was taken
+    id: str
+    cls: str
+    tenant: str
+    dest: int
+    key: int  # 0: none
+    idempotency: str
+    until_unix_us: int
+    body: bytes = b""
+    front: str = ""  # the front that took it, which also hears its end
+    reply: dict = field(default_factory=dict)  # what that front needs for it
+    branches: int = 0  # started so far, over restarts
+    may_run_us: int = 0  # Unix time of the first branch that may have run; 0: none
+    live_us: int = 0  # Unix time at which the branch that is out was written; 0: none is
+    final: Final | None = None
+
+
+@dataclass(slots=True)
+class NextHop:
+    """One endpoint of a partner, as discovery tells of it."""
+
+    id: str
+    address: str  # host:port
+    dest: int
+    usable: bool = True
+    scheme: str = "http"  # the transport that reaches it
+    weight: float = 1.0
+    zone: int = 0
+    kind: int = 0
+
+
+@dataclass(slots=True)
+class Outcome:
+    """How a branch or a probe ended; the verdicts are the module's."""
+
+    verdict: Verdict
+    wait_us: int = 0  # told with a busy answer
+    over: bool = False  # the next hop says that nothing is owed any more
+    note: str = ""
+
+
+NEVER_RAN = (Verdict.FULL, Verdict.CONNECT_FAILED, Verdict.MOOT)  # what proves that a branch never ran
+
+
+@dataclass(slots=True)
+class Branch:
+    """One attempt. The transport calls `clear` right before its first byte and obeys a reason not to."""
+
+    transaction: Transaction
+    number: int
+    next_hop: NextHop
+    started_us: int
+    timeout_us: int
+    clear: object = None  # () -> str: empty, or why nothing may be written any more
+    key: int = 0
+
+    def ends_us(self):
+        """When the courier stops waiting."""
+        return self.started_us + self.timeout_us
--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -205,6 +205,13 @@
         self.enqueue(message)
         if message.key:
             self.keys.setdefault(message.key, deque()).append(message)
+        # Danger: a sender that restarts with what it had taken must not repeat what may have run (rule 2).
+        message.attempts = message.failures = event.attempts
+        message.may_run_ns = event.may_run_ns
+        if event.attempts and (
+            event.attempts >= self.settings.max_attempts or not self.may_repeat(message, self.now)
+        ):
+            self.give_up(message)
 
     def on_outcome(self, event):
         """Book an attempt's outcome; then retry, give up, or be done."""
--- a/pinspread/interface.py
+++ b/pinspread/interface.py
@@ -192,6 +192,8 @@
     deadline_ns: int  # a time of the clock
     key: int = 0  # 0: none
     tenant: int = 0
+    attempts: int = 0  # made before the sender was restarted
+    may_run_ns: int = 0  # when the first of them was sent that may have run; 0: none
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/pinspread/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's wires: RESP2 from clients, HTTP to next hops, discovery and notices."""
--- /dev/null
+++ b/pinspread/net/resp.py
@@ -0,0 +1,105 @@
+"""RESP2 as the platform's clients speak it: parsing only."""
+
+MOST_ARGUMENTS = 16
+MOST_BODY = 64 * 1024
+MOST_BULK = 1 << 20  # longer ones end the connection; up to it a command is read and answered with an error
+MOST_LINE = 32
+MOST_FOR_MS = 10**9
+MOST_NAME = 64
+_HEX = frozenset(b"0123456789abcdefABCDEF")
+
+
+class ProtocolError(ValueError):
+    """The stream cannot be followed any more."""
+
+
+class CommandError(ValueError):
+    """This command is malformed; the next may be well."""
+
+
+def parse(view):
+    """One command at the start of a view: its arguments as slices, and its length; None if it is not whole."""
+    line = _line(view, 0, b"*")
+    if line is None:
+        return None
+    count, at = line
+    if not 1 <= count <= MOST_ARGUMENTS:
+        raise ProtocolError(f"a command of {count} arguments")
+    arguments = []
+    for _ in range(count):
+        line = _line(view, at, b"$")
+        if line is None:
+            return None
+        size, at = line
+        if not 0 <= size <= MOST_BULK:
+            raise ProtocolError(f"a string of {size} bytes")
+        if len(view) < at + size + 2:
+            return None
+        if view[at + size : at + size + 2] != b"\r\n":
+            raise ProtocolError("a string does not end where its length says")
+        arguments.append(view[at : at + size])
+        at += size + 2
+    return arguments, at
+
+
+def _line(view, at, mark):
+    """The number in a header line and where the line ends; None if it is not whole."""
+    if at >= len(view):
+        return None
+    if view[at : at + 1] != mark:
+        raise ProtocolError(f"expected {mark.decode()}, not byte {view[at]}")
+    head = bytes(view[at + 1 : at + MOST_LINE])
+    end = head.find(b"\r\n")
+    if end < 0:
+        if len(head) >= MOST_LINE - 1:
+            raise ProtocolError("a header line without an end")
+        return None
+    digits = head[:end]
+    if not digits.removeprefix(b"-").isdigit():
+        raise ProtocolError(f"not a length: {digits!r}")
+    return int(digits), at + 1 + end + 2
+
+
+def enqueue(arguments):
+    """The fields of an ENQUEUE command: key, id, options; the body stays a slice."""
+    if len(arguments) != 5:
+        raise CommandError(f"ENQUEUE takes key, id, options and body, not {len(arguments) - 1} arguments")
+    _, key, id_, options, body = arguments
+    if len(body) > MOST_BODY:
+        raise CommandError(f"a body of {len(body)} bytes is over {MOST_BODY}")
+    return _key(bytes(key)), _name(id_, "id"), _options(bytes(options)), body
+
+
+def _key(text):
+    if not 1 <= len(text) <= 16 or not _HEX.issuperset(text):
+        raise CommandError("the key must be up to 16 hexadecimal digits")
+    return int(text, 16)
+
+
+def _name(view, what):
+    if not 1 <= len(view) <= MOST_NAME or not all(33 <= byte <= 126 for byte in view):
+        raise CommandError(f"the {what} must be 1 to {MOST_NAME} visible characters")
+    return bytes(view).decode("ascii")
+
+
+def _options(text):
+    found = {}
+    for part in text.decode("latin-1").split(","):
+        name, equals, value = part.partition("=")
+        if not equals:
+            raise CommandError(f"option {part!r} has no value")
+        if name in found:
+            raise CommandError(f"option {name} is given twice")
+        found[name] = value
+    for name, most in (("d", MOST_FOR_MS), ("dest", 65_535)):
+        value = found.get(name)
+        if value is None:
+            raise CommandError(f"option {name} is missing")
+        if not (value.isascii() and value.isdigit() and len(value) <= 10 and int(value) <= most):
+            raise CommandError(f"option {name} must be a number up to {most}, not {value[:32]!r}")
+        found[name] = int(value)
+    if "c" not in found:
+        raise CommandError("option c is missing")
+    if "k" in found:
+        _name(found["k"].encode("latin-1"), "idempotency key")
+    return found
