--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -208,9 +208,10 @@
         # Danger: a sender that restarts with what it had taken must not repeat what may have run (rule 2).
         message.attempts = message.failures = event.attempts
         message.may_run_ns = event.may_run_ns
-        if event.attempts and (
-            event.attempts >= self.settings.max_attempts or not self.may_repeat(message, self.now)
-        ):
+        if message.may_run_ns and message.rule.effect is api.Effect.BY_KEY:
+            heappush(self.expiry, (message.may_run_ns + message.rule.window_ns, message.request))
+        spent = message.attempts >= self.settings.max_attempts
+        if event.attempts and (spent or not self.may_repeat(message, self.now)):
             self.give_up(message)
 
     def on_outcome(self, event):
--- a/pinspread/net/resp.py
+++ b/pinspread/net/resp.py
@@ -18,7 +18,7 @@
 
 
 def parse(view):
-    """One command at the start of a view: its arguments as slices, and its length; None if it is not whole."""
+    """The command that a view starts with: arguments as slices, its length; None if it is not whole."""
     line = _line(view, 0, b"*")
     if line is None:
         return None
