--- /dev/null
+++ b/pinspread/amqp/broker.py
@@ -0,0 +1,278 @@
+"""Next hops that are AMQP 0-9-1 brokers: one connection each, publisher confirms, and no second publish.
+
+What a broker's word proves: ack, delivered; an unroutable return, never ran; nack, it may have run; the
+connection lost before a publish's last byte, never ran, and after it, it may have run.
+"""
+
+import anyio
+from pamqp import commands, heartbeat
+
+from pinspread.amqp import frames
+from pinspread.core.log import log
+from pinspread.core.transactions import Branch, NextHop, Outcome
+from pinspread.interface import Verdict
+from pinspread.net.sockets import dial
+
+HEARTBEAT_S = 10
+BLOCKED_WAIT_US = 1_000_000  # a broker that blocks publishers tells no time: look again after this
+PLAIN = "\0guest\0guest"
+
+
+class BrokerTransport:
+    """Publishes branches to brokers."""
+
+    def __init__(self, clock, tasks, dial_us, heartbeat_s=HEARTBEAT_S):
+        self.clock = clock
+        self.tasks = tasks
+        self.dial_us = dial_us
+        self.heartbeat_s = heartbeat_s
+        self.links = {}  # next hop id -> Link
+        self.dialling = {}  # next hop id -> Lock
+
+    async def send(self, branch: Branch) -> Outcome:
+        """Publish once and wait for the confirm."""
+        waiter = _Waiter()
+        try:
+            with anyio.move_on_after(self._seconds_to(branch.ends_us())):
+                link = await self._link(branch.next_hop)
+                await link.unblocked.wait()
+                return await link.publish(branch, waiter)
+            if waiter.written:
+                return Outcome(Verdict.TIMEOUT)
+            if not waiter.tried and branch.next_hop.id in self.links:
+                return Outcome(Verdict.FULL, BLOCKED_WAIT_US, note="the broker blocks publishers")
+            return Outcome(Verdict.CONNECT_FAILED, note="not written in time")
+        except (OSError, TimeoutError, frames.AmqpError) as error:
+            verdict = Verdict.RESET if waiter.written else Verdict.CONNECT_FAILED
+            return Outcome(verdict, note=str(error))
+
+    async def probe(self, hop: NextHop, clear) -> Outcome:
+        """Whether its connection is up and not blocked."""
+        why = clear()
+        if why:
+            return Outcome(Verdict.MOOT, note=why)
+        try:
+            link = await self._link(hop)
+        except (OSError, TimeoutError, frames.AmqpError) as error:
+            return Outcome(Verdict.CONNECT_FAILED, note=str(error))
+        return Outcome(Verdict.OK if link.unblocked.is_set() else Verdict.FULL)
+
+    def disconnect(self, hop: NextHop):
+        """Close its connection if nothing is out on it."""
+        link = self.links.get(hop.id)
+        if link is not None and not link.waiters:
+            link.drop("not needed any more")
+
+    def _seconds_to(self, at_us):
+        return max(0, at_us - self.clock.now()) / 1_000_000
+
+    async def _link(self, hop):
+        """The connection to a broker, opened if there is none."""
+        async with self.dialling.setdefault(hop.id, anyio.Lock()):
+            link = self.links.get(hop.id)
+            if link is not None and link.address == hop.address and not link.lost:
+                return link
+            if link is not None:
+                link.drop("its address has changed")
+            with anyio.fail_after(self.dial_us / 1_000_000):
+                connection = await dial(hop.address)
+                try:
+                    link = Link(hop, connection, self.clock)
+                    await link.greet(self.heartbeat_s)
+                except BaseException:
+                    connection.close()
+                    raise
+            self.links[hop.id] = link
+            self.tasks.start_soon(link.run)
+            return link
+
+
+class _Waiter:
+    """A publish that waits for its confirm."""
+
+    __slots__ = ("done", "id", "outcome", "returned", "tried", "written")
+
+    def __init__(self):
+        self.id = None  # message and attempt, as a return names them
+        self.tried = False  # its first byte
+        self.written = False  # its last byte
+        self.returned = False
+        self.outcome = None
+        self.done = anyio.Event()
+
+    def end(self, verdict, note=""):
+        if self.outcome is None:
+            self.outcome = Outcome(verdict, note=note)
+            self.done.set()
+
+
+class Link:
+    """One connection to a broker, with one channel in confirm mode."""
+
+    def __init__(self, hop, connection, clock):
+        self.address = hop.address
+        self.route = hop.route
+        self.hop = hop.id
+        self.clock = clock
+        self.wire = frames.Wire(connection, clock)
+        self.waiters = {}  # delivery tag -> _Waiter
+        self.published = 0
+        self.lost = ""
+        self.heartbeat_s = 0
+        self.unblocked = anyio.Event()
+        self.unblocked.set()
+
+    async def greet(self, heartbeat_s):
+        """Open the connection and a channel in confirm mode."""
+        wire = self.wire
+        await wire.connection.write(frames.GREETING)
+        await wire.method("Connection.Start")
+        capabilities = {"connection.blocked": True, "publisher_confirms": True, "basic.nack": True}
+        properties = {"product": "pinspread", "capabilities": capabilities}
+        await wire.send(
+            commands.Connection.StartOk(properties, "PLAIN", self.route.get("login", PLAIN), "en_US")
+        )
+        tune = await wire.method("Connection.Tune")
+        wire.frame_max = min(tune.frame_max or frames.FRAME_MAX, frames.FRAME_MAX)
+        self.heartbeat_s = min(tune.heartbeat, heartbeat_s) if tune.heartbeat else heartbeat_s
+        await wire.send(commands.Connection.TuneOk(1, wire.frame_max, self.heartbeat_s))
+        await wire.send(commands.Connection.Open(self.route.get("vhost", "/")))
+        await wire.method("Connection.OpenOk")
+        await wire.send(commands.Channel.Open(), 1)
+        await wire.method("Channel.OpenOk")
+        await wire.send(commands.Confirm.Select(), 1)
+        await wire.method("Confirm.SelectOk")
+
+    async def publish(self, branch, waiter) -> Outcome:
+        """Write one publish and wait for its end; whatever cuts the write short ends the connection."""
+        transaction = branch.transaction
+        async with self.wire.lock:
+            if self.lost:
+                raise ConnectionError(self.lost)
+            if not self.wire.connection.quiet() and self.wire.connection.ended():
+                self.drop("closed by the broker")
+                raise ConnectionError(self.lost)
+            if not self.unblocked.is_set():
+                return Outcome(Verdict.FULL, BLOCKED_WAIT_US, note="the broker blocks publishers")
+            why = branch.clear()
+            if why:
+                return Outcome(Verdict.MOOT, note=why)
+            self.published += 1
+            waiter.tried, waiter.id = True, (transaction.id, branch.number)
+            self.waiters[self.published] = waiter
+            connection = self.wire.connection
+            data = self._publish(branch)
+            connection.left = len(data)
+            try:
+                await connection.write(data)
+            except BaseException:
+                # Danger: a publish that was cut short would take the next one's bytes for its own.
+                self.drop("a publish was cut short")
+                raise
+            finally:
+                waiter.written = not connection.left
+        await waiter.done.wait()
+        return waiter.outcome
+
+    def _publish(self, branch):
+        t = branch.transaction
+        left_us = t.until_unix_us - self.clock.unix(self.clock.now())
+        headers = {"class": t.cls, "tenant": t.tenant, "attempt": branch.number}
+        if t.idempotency:
+            headers["idempotency-key"] = t.idempotency
+        if t.key:
+            headers["key"] = f"{t.key:016x}"
+        properties = commands.Basic.Properties(
+            headers=headers,
+            delivery_mode=2,
+            message_id=t.id,
+            expiration=str(max(1, left_us // 1000)),
+        )
+        method = commands.Basic.Publish(
+            0, self.route.get("exchange", ""), self.route.get("routing_key", f"partner.{t.dest}"), True
+        )
+        return frames.content(method, properties, t.body, 1, self.wire.frame_max)
+
+    # --- what the broker says ---------------------------------------------------------------------
+
+    async def run(self):
+        """Follow the broker until the connection ends."""
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._beat, tasks.cancel_scope)
+                await self._follow()
+                tasks.cancel_scope.cancel()
+        finally:
+            self.drop(self.lost or "the courier ends")
+
+    async def _beat(self, scope):
+        try:
+            await self.wire.beat(self.heartbeat_s)
+        except OSError as error:
+            self.drop(str(error))
+        scope.cancel()
+
+    async def _follow(self):
+        contents = frames.Contents()
+        while not self.lost:
+            try:
+                channel, found = await self.wire.frame()
+                if isinstance(found, heartbeat.Heartbeat):
+                    continue
+                if channel == 0:
+                    await self._on_connection(found)
+                    continue
+                whole = contents.feed(found)
+                if whole is not None:
+                    await self._on_channel(*whole)
+            except (OSError, frames.AmqpError) as error:
+                self.drop(str(error))
+
+    async def _on_connection(self, found):
+        if isinstance(found, commands.Connection.Blocked):
+            log("broker_blocked", hop=self.hop, reason=found.reason)
+            if self.unblocked.is_set():
+                self.unblocked = anyio.Event()
+        elif isinstance(found, commands.Connection.Unblocked):
+            self.unblocked.set()
+        elif isinstance(found, commands.Connection.Close):
+            await self.wire.send(commands.Connection.CloseOk())
+            self.drop(f"closed by the broker: {found.reply_code} {found.reply_text}")
+
+    async def _on_channel(self, method, properties, _):
+        if isinstance(method, commands.Basic.Return):
+            # The return of an unroutable publish comes before its confirm.
+            for waiter in self.waiters.values():
+                if waiter.id == (properties.message_id, (properties.headers or {}).get("attempt")):
+                    waiter.returned = True
+        elif isinstance(method, commands.Basic.Ack | commands.Basic.Nack):
+            self._confirm(method)
+        elif isinstance(method, commands.Channel.Close):
+            await self.wire.send(commands.Channel.CloseOk(), 1)
+            self.drop(f"channel closed by the broker: {method.reply_code} {method.reply_text}")
+
+    def _confirm(self, method):
+        tag = method.delivery_tag
+        tags = [t for t in self.waiters if t <= tag] if method.multiple else [tag]
+        for tag in tags:
+            waiter = self.waiters.pop(tag, None)
+            if waiter is None:
+                continue
+            if waiter.returned:
+                waiter.end(Verdict.FULL, "returned as unroutable")
+            elif isinstance(method, commands.Basic.Ack):
+                waiter.end(Verdict.OK)
+            else:
+                waiter.end(Verdict.ERROR, "nack")
+
+    def drop(self, why):
+        """The connection is over: what was written in full may have run, the rest never did."""
+        if not self.lost:
+            self.lost = why
+            log("broker_lost", hop=self.hop, why=why, out=len(self.waiters))
+            anyio.notify_closing(self.wire.connection.sock)
+            self.wire.connection.close()
+        for waiter in self.waiters.values():
+            waiter.end(Verdict.RESET if waiter.written else Verdict.CONNECT_FAILED, why)
+        self.waiters.clear()
+        self.unblocked.set()
--- a/pinspread/config/settings.py
+++ b/pinspread/config/settings.py
@@ -1,13 +1,17 @@
 """What a courier is told at its start, read from the file that `RELAY_CONFIG` names."""
 
 import os
+import tomllib
 from dataclasses import dataclass
+from pathlib import Path
 
 import orjson
 
 from pinspread import interface as api
 from pinspread import wire
 
+AMQP_FILE = Path(__file__).parents[2] / "deploy" / "amqp.toml"
+
 
 class SettingsError(ValueError):
     """The configuration cannot be used; the text names the place."""
@@ -63,6 +67,25 @@
     return str(value).replace(" ", "_").replace(",", "_")
 
 
+@dataclass(slots=True)
+class AmqpFile:
+    """Where the AMQP front listens; empty: it is off."""
+
+    listen: str = ""
+    heartbeat_s: int = 30
+
+
+def amqp_file(path=AMQP_FILE) -> AmqpFile:
+    """The file under deploy/ that turns the AMQP front on."""
+    try:
+        with open(path, "rb") as file:
+            return AmqpFile(**tomllib.load(file))
+    except FileNotFoundError:
+        return AmqpFile()
+    except (OSError, TypeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from None
+
+
 def from_environment(env=os.environ) -> Told:
     """The configuration file, with the environment's word where both speak."""
     path = env.get("RELAY_CONFIG")
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -67,7 +67,7 @@
             if t.final is None and not self.settings.knows(t.cls, t.tenant):
                 t.final = Final(State.FAILED)  # the settings have changed: nothing can be decided for it
             if t.final is not None:
-                self.notified[t.key] = self.notified.get(t.key, 0) + 1
+                self._owe_notice(t)
             else:
                 self.open[t.number] = t
                 self._hand_to_module(t)
@@ -277,14 +277,20 @@
             return
         transaction.final = final
         self._record(self.journal.final, transaction, final)
-        self.notified[transaction.key] = self.notified.get(transaction.key, 0) + 1
+        self._owe_notice(transaction)
         self.tasks.start_soon(self._notify, transaction)
 
+    def _owe_notice(self, transaction):
+        if self.fronts[transaction.front].over_when_heard:
+            self.notified[transaction.key] = self.notified.get(transaction.key, 0) + 1
+
     async def _notify(self, transaction):
-        await self.fronts[transaction.front].notify(transaction, transaction.final)
-        self.notified[transaction.key] -= 1
-        if not self.notified[transaction.key]:
-            del self.notified[transaction.key]
+        front = self.fronts[transaction.front]
+        await front.notify(transaction, transaction.final)
+        if front.over_when_heard:
+            self.notified[transaction.key] -= 1
+            if not self.notified[transaction.key]:
+                del self.notified[transaction.key]
         self._over(transaction)
 
     def _over(self, transaction):
@@ -325,5 +331,5 @@
         with anyio.move_on_after(DRAIN_US / SECOND_US):
             await anyio.sleep(LINGER_US / SECOND_US)
             await self.calm.wait()
-            while any(t.final for t in self.ids.values()):
+            while self.notified:
                 await anyio.sleep(0.005)
--- a/pinspread/core/ports.py
+++ b/pinspread/core/ports.py
@@ -22,6 +22,7 @@
     """Takes transactions and tells their callers how they ended."""
 
     tells_delivery: bool  # whether DELIVERED is told too
+    over_when_heard: bool  # whether a key's next message waits until an end has been heard
 
     async def notify(self, transaction: Transaction, final: Final) -> None:
         """Tell the end; returns once it was heard, and retries until then."""
--- a/pinspread/core/transactions.py
+++ b/pinspread/core/transactions.py
@@ -52,6 +52,7 @@
     dest: int
     usable: bool = True
     scheme: str = "http"  # the transport that reaches it
+    route: dict = field(default_factory=dict)  # what that transport needs beyond the address
     weight: float = 1.0
     zone: int = 0
     kind: int = 0
--- a/pinspread/net/front.py
+++ b/pinspread/net/front.py
@@ -20,6 +20,7 @@
     """Caller legs on a listening socket."""
 
     tells_delivery = False  # the platform sees a delivery by itself
+    over_when_heard = True
 
     def __init__(self, courier, notices):
         self.courier = courier
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -4,6 +4,9 @@
 
 import anyio
 
+from pinspread.amqp.broker import BrokerTransport
+from pinspread.amqp.front import NAME as AMQP
+from pinspread.amqp.front import AmqpFront
 from pinspread.config import settings
 from pinspread.core.clock import Clock
 from pinspread.core.courier import Courier
@@ -15,7 +18,7 @@
 from pinspread.net.http import HttpTransport, Pool
 
 
-async def serve(told: settings.Told):
+async def serve(told: settings.Told, amqp: settings.AmqpFile):
     """Serve until SIGTERM or SIGINT."""
     clock = Clock()
     journal = Journal(told.state, told.disk_bytes)
@@ -24,6 +27,7 @@
     notices = front.Notices(told.discovery)
     courier.transports["http"] = HttpTransport(clock, pool, told.dial_us)
     courier.fronts[front.NAME] = resp = front.RespFront(courier, notices)
+    courier.fronts[AMQP] = second = AmqpFront(courier, amqp.heartbeat_s)
     discovery = Discovery(told.discovery, courier, told)
     courier.subscribe = discovery.ask
     discovery.start()
@@ -33,15 +37,19 @@
         async with anyio.create_task_group() as tasks:
             for run in (courier.run, notices.run, discovery.run, pool.run):
                 tasks.start_soon(run)
+            courier.transports["amqp"] = BrokerTransport(clock, tasks, told.dial_us)
             tasks.start_soon(resp.run, sock)
-            log("serving", name=told.name, listen=told.listen)
+            if amqp.listen:
+                tasks.start_soon(second.run, sockets.listen(amqp.listen))
+            log("serving", name=told.name, listen=told.listen, amqp=amqp.listen)
             async for _ in signals:
                 break
             await courier.stop()
+            await second.close()
             tasks.cancel_scope.cancel()
     log("stopped")
 
 
 def main():
     """Serve as the platform starts a courier."""
-    anyio.run(serve, settings.from_environment())
+    anyio.run(serve, settings.from_environment(), settings.amqp_file())
--- a/pinspread/net/resp.py
+++ b/pinspread/net/resp.py
@@ -5,6 +5,7 @@
 MOST_BULK = 1 << 20  # longer ones end the connection; up to it a command is read and answered with an error
 MOST_LINE = 32
 MOST_FOR_MS = 10**9
+MOST_DEST = 65_535
 MOST_NAME = 64
 _HEX = frozenset(b"0123456789abcdefABCDEF")
 
@@ -67,39 +68,45 @@
     _, key, id_, options, body = arguments
     if len(body) > MOST_BODY:
         raise CommandError(f"a body of {len(body)} bytes is over {MOST_BODY}")
-    return _key(bytes(key)), _name(id_, "id"), _options(bytes(options)), body
+    return key_number(bytes(key)), name(id_, "id"), _options(bytes(options)), body
 
 
-def _key(text):
+def key_number(text):
+    """A key: hexadecimal digits; 0 is none."""
     if not 1 <= len(text) <= 16 or not _HEX.issuperset(text):
         raise CommandError("the key must be up to 16 hexadecimal digits")
     return int(text, 16)
 
 
-def _name(view, what):
+def name(view, what):
+    """An id: visible characters, since it becomes a header's value."""
     if not 1 <= len(view) <= MOST_NAME or not all(33 <= byte <= 126 for byte in view):
         raise CommandError(f"the {what} must be 1 to {MOST_NAME} visible characters")
     return bytes(view).decode("ascii")
 
 
+def number(text, what, most):
+    """A whole number from 0 to `most`."""
+    if not (text.isascii() and text.isdigit() and len(text) <= 10 and int(text) <= most):
+        raise CommandError(f"{what} must be a number up to {most}, not {text[:32]!r}")
+    return int(text)
+
+
 def _options(text):
     found = {}
     for part in text.decode("latin-1").split(","):
-        name, equals, value = part.partition("=")
+        option, equals, value = part.partition("=")
         if not equals:
             raise CommandError(f"option {part!r} has no value")
-        if name in found:
-            raise CommandError(f"option {name} is given twice")
-        found[name] = value
-    for name, most in (("d", MOST_FOR_MS), ("dest", 65_535)):
-        value = found.get(name)
-        if value is None:
-            raise CommandError(f"option {name} is missing")
-        if not (value.isascii() and value.isdigit() and len(value) <= 10 and int(value) <= most):
-            raise CommandError(f"option {name} must be a number up to {most}, not {value[:32]!r}")
-        found[name] = int(value)
+        if option in found:
+            raise CommandError(f"option {option} is given twice")
+        found[option] = value
+    for option, most in (("d", MOST_FOR_MS), ("dest", MOST_DEST)):
+        if option not in found:
+            raise CommandError(f"option {option} is missing")
+        found[option] = number(found[option], option, most)
     if "c" not in found:
         raise CommandError("option c is missing")
     if "k" in found:
-        _name(found["k"].encode("latin-1"), "idempotency key")
+        name(found["k"].encode("latin-1"), "idempotency key")
     return found
--- a/pinspread/net/sockets.py
+++ b/pinspread/net/sockets.py
@@ -79,7 +79,13 @@
             try:
                 self.left -= self.sock.send(view[len(view) - self.left :])
             except BlockingIOError:
-                await anyio.wait_writable(self.sock)
+                await self._ready(anyio.wait_writable)
+
+    async def _ready(self, wait):
+        try:
+            await wait(self.sock)
+        except anyio.ClosedResourceError:
+            raise ConnectionResetError("closed by another task") from None
 
     async def read_into(self, room) -> int:
         """Read what is there into a writable slice; 0 at the end."""
@@ -87,7 +93,7 @@
             try:
                 return self.sock.recv_into(room)
             except BlockingIOError:
-                await anyio.wait_readable(self.sock)
+                await self._ready(anyio.wait_readable)
 
     async def read(self) -> bytes:
         """Read what is there; empty at the end."""
@@ -95,7 +101,7 @@
             try:
                 return self.sock.recv(READ_SIZE)
             except BlockingIOError:
-                await anyio.wait_readable(self.sock)
+                await self._ready(anyio.wait_readable)
 
     def quiet(self) -> bool:
         """Whether the other side has neither closed nor sent anything."""
--- /dev/null
+++ b/tests/test_amqp_front.py
@@ -0,0 +1,174 @@
+"""The AMQP front against a stand-in client: one test a rule, on real sockets."""
+
+import anyio
+import pytest
+from pamqp import commands
+from standins import AmqpClient, Client, HttpStandIn, courier, malformed, standing, until
+
+from pinspread.amqp import frames
+from pinspread.net.sockets import dial
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.mark.parametrize(
+    ("status", "cls", "state"),
+    [(200, "payment", "delivered"), (500, "payment", "failed"), (503, "status-update", "returned")],
+)
+async def test_a_taken_message_is_acked_and_its_one_end_goes_to_reply_to(tmp_path, status, cls, state):
+    hop = HttpStandIn(lambda request: (status, [], b""))
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        client = await AmqpClient.open(rig.amqp)
+        await client.consume()
+        await client.publish("m1", cls, for_ms=600)
+        method, _, _ = await client.next()
+        assert isinstance(method, commands.Basic.Ack) and method.delivery_tag == 1
+        told, _ = await client.end()
+        assert (told["id"], told["state"]) == ("m1", state)
+        await until(lambda: not rig.courier.ids)  # acknowledged: nothing is owed any more
+        with pytest.raises(TimeoutError), anyio.fail_after(0.2):
+            await client.end()
+        assert hop.requests[0][3]["request-id"] == "m1"
+
+
+async def test_a_busy_answer_is_a_return_with_when_to_come_back_and_then_a_nack(tmp_path):
+    async with courier(tmp_path) as rig:
+        client = await AmqpClient.open(rig.amqp)
+        await client.publish("m1")
+        assert isinstance((await client.next())[0], commands.Basic.Ack)
+        rig.courier.stopping = True
+        await client.publish("m2", body=b"any\0body")
+        back, properties, body = await client.next()
+        assert isinstance(back, commands.Basic.Return) and body == b"any\0body"
+        assert properties.headers["after-ms"] > 0 and properties.message_id == "m2"
+        method, _, _ = await client.next()
+        assert isinstance(method, commands.Basic.Nack) and method.delivery_tag == 2
+
+
+async def test_an_end_is_kept_until_acked_over_consumers_and_restarts(tmp_path):
+    async with courier(tmp_path) as rig:
+        client = await AmqpClient.open(rig.amqp)
+        await client.publish("m1", for_ms=100)  # no next hop: returned when its time is up
+        await client.consume()
+        told, first = await client.end(ack=False)
+        client.close()
+        client = await AmqpClient.open(rig.amqp)
+        await client.consume()
+        again, second = await client.end(ack=False)
+        assert told == again and (first.redelivered, second.redelivered) == (False, True)
+    async with courier(tmp_path) as rig:
+        client = await AmqpClient.open(rig.amqp)
+        await client.consume()
+        assert (await client.end())[0] == told
+        await until(lambda: not rig.courier.ids)
+    async with courier(tmp_path) as rig:
+        assert not rig.courier.ids
+
+
+async def test_prefetch_bounds_what_is_out_and_requeued_ends_come_first(tmp_path):
+    async with courier(tmp_path) as rig:
+        client = await AmqpClient.open(rig.amqp)
+        for n in (1, 2):
+            await client.publish(f"m{n}", for_ms=50 * n)
+            await client.next()
+        await until(lambda: len(rig.courier.fronts["amqp"].queue("ends").waiting) == 2)
+        await client.consume(prefetch=1)
+        told, method = await client.end(ack=False)
+        await client.wire.send(commands.Basic.Nack(method.delivery_tag, False, True), 1)
+        again, method = await client.end()
+        assert told["id"] == again["id"] == "m1" and method.redelivered
+        assert (await client.end())[0]["id"] == "m2"
+
+
+@pytest.mark.parametrize(
+    ("send", "code"),
+    [
+        (lambda c: c.publish("m1", cls="nonsense"), frames.PRECONDITION_FAILED),
+        (lambda c: c.publish("m 1"), frames.PRECONDITION_FAILED),
+        (lambda c: c.publish("m1", for_ms="soon"), frames.PRECONDITION_FAILED),
+        (lambda c: c.publish("m1", dest="x"), frames.PRECONDITION_FAILED),
+        (lambda c: c.publish("m1", exchange="no such"), frames.NOT_FOUND),
+        (lambda c: c.publish("m1", body=b"x" * 65537), frames.CONTENT_TOO_LARGE),
+        (lambda c: c.wire.send(commands.Basic.Consume(0, "q", "t", no_ack=True), 1), 406),
+        (lambda c: c.wire.send(commands.Basic.Ack(7), 1), frames.PRECONDITION_FAILED),
+        (lambda c: c.wire.send(commands.Queue.Declare(0, "q", passive=True), 1), frames.NOT_FOUND),
+        (lambda c: c.wire.send(commands.Tx.Select(), 1), frames.NOT_IMPLEMENTED),
+        (lambda c: c.wire.send(commands.Basic.Ack(1), 5), frames.CHANNEL_ERROR),
+        (lambda c: c.wire.send(commands.Channel.Open(), 1), frames.CHANNEL_ERROR),
+        (lambda c: c.wire.write(malformed(b"\0\0\0\0")), frames.SYNTAX_ERROR),
+        (lambda c: c.wire.write(b"\x09\0\1\0\0\0\0\xce"), frames.FRAME_ERROR),
+        (lambda c: c.wire.write(b"\x01\0\1\x0f\0\0\0"), frames.FRAME_ERROR),
+        (lambda c: c.wire.write(frames.FRAME_HEAD.pack(3, 1, 1) + b"x\xce"), frames.UNEXPECTED_FRAME),
+    ],
+)
+async def test_errors_have_the_specifications_reply_codes_and_nothing_is_taken(tmp_path, send, code):
+    async with courier(tmp_path) as rig:
+        client = await AmqpClient.open(rig.amqp)
+        await send(client)
+        method, _, _ = await client.next()
+        assert (method.name, method.reply_code) == (
+            "Channel.Close" if code < 500 else "Connection.Close",
+            code,
+        )
+        if code < 500:  # a soft error: the connection goes on with another channel
+            await client.wire.send(commands.Channel.CloseOk(), 1)
+            assert isinstance((await client.ask(commands.Channel.Open()))[0], commands.Channel.OpenOk)
+        assert not rig.courier.ids and len((await AmqpClient.open(rig.amqp)).wire.buffer.view()) == 0
+
+
+async def test_publishing_without_confirms_is_refused(tmp_path):
+    async with courier(tmp_path) as rig:
+        client = await AmqpClient.open(rig.amqp, confirms=False)
+        await client.publish("m1")
+        assert (await client.next())[0].reply_code == frames.PRECONDITION_FAILED
+
+
+async def test_another_protocol_hears_the_greeting(tmp_path):
+    async with courier(tmp_path) as rig:
+        host, port = rig.amqp.split(":")
+        stream = await anyio.connect_tcp(host, int(port))
+        await stream.send(b"AMQP\0\1\0\0")
+        assert await stream.receive() == frames.GREETING
+
+
+async def test_a_silent_client_is_dropped_and_a_beating_one_kept(tmp_path):
+    async with courier(tmp_path) as rig:
+        rig.courier.fronts["amqp"].heartbeat_s = 1
+        client = await AmqpClient.open(rig.amqp)  # it chose no heartbeats
+        beating = frames.Wire(client.wire.connection, client.wire.clock)
+        with anyio.move_on_after(0.2):
+            await beating.frame()
+        wire = frames.Wire(await dial(rig.amqp), rig.courier.clock)
+        await wire.connection.write(frames.GREETING)
+        await wire.method("Connection.Start")
+        await wire.send(commands.Connection.StartOk({}, "PLAIN", "\0a\0b", "en_US"))
+        await wire.method("Connection.Tune")
+        await wire.send(commands.Connection.TuneOk(8, 4096, 1))
+        await wire.send(commands.Connection.Open("/"))
+        await wire.method("Connection.OpenOk")
+        with pytest.raises(OSError), anyio.fail_after(4):
+            while True:
+                assert (await wire.frame())[1].name == "Heartbeat"
+        assert len(rig.courier.fronts["amqp"].sessions) == 1
+
+
+async def test_order_per_key_holds_across_both_fronts(tmp_path):
+    async def slow():
+        await anyio.sleep(0.05)
+        return 200, [], b""
+
+    hop = HttpStandIn(lambda request: slow())
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        client, resp = await AmqpClient.open(rig.amqp), Client(rig.address)
+        await client.publish("a1", "booking-change", key="5c0f")
+        await client.next()
+        assert await resp.enqueue("booking-change", "r2", key="5c0f") == "+OK\r\n"
+        await client.publish("a3", "booking-change", key="5c0f")
+        await until(lambda: len(hop.requests) == 3)
+        assert [r[3]["request-id"] for r in hop.requests] == ["a1", "r2", "a3"]
+        assert all(b[0] - a[0] >= 0.05 for a, b in zip(hop.requests, hop.requests[1:], strict=False))
