Test the platform's rules on real sockets; keep faults of one message to itself

A fault in one caller leg, branch or discovery line is logged and no longer ends the process (front.py serve, courier.py _run_branch, discovery.py _learn). A header line that can never become one is refused at once (resp.py _line).

--- a/pinspread/amqp/front.py
+++ b/pinspread/amqp/front.py
@@ -65,6 +65,9 @@
         self.sessions.add(session)
         try:
             await session.run()
+        except Exception as error:
+            # Danger: one client's trouble would end the process and all that it serves.
+            log("fault", where="amqp session", error=repr(error))
         finally:
             self.sessions.discard(session)
 
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -181,7 +181,12 @@
             with anyio.move_on_after(self._seconds_to(branch.ends_us())):
                 while transaction.key in self.notified:
                     await anyio.sleep(0.005)
-        outcome = await self.transports[branch.next_hop.scheme].send(branch)
+        try:
+            outcome = await self.transports[branch.next_hop.scheme].send(branch)
+        except Exception as error:
+            # Danger: a transport's fault must neither end the process nor pass for proof that nothing ran.
+            log("fault", where="branch", error=repr(error))
+            outcome = Outcome(api.Verdict.RESET if transaction.live_us else api.Verdict.CONNECT_FAILED)
         self._branch_ended(branch, outcome)
 
     def _clear(self, branch):
--- a/pinspread/net/discovery.py
+++ b/pinspread/net/discovery.py
@@ -62,13 +62,14 @@
                     raise ValueError("a line without an end")
                 for line in lines:
                     if line.strip():
-                        news = orjson.loads(line)
-                        self._learn(news, ListScope.FULL if news.get("whole") else ListScope.DELTA)
+                        self._learn(orjson.loads(line))
         finally:
             connection.close()
 
-    def _learn(self, news, scope):
+    def _learn(self, news, scope=None):
         hops = []
+        if not isinstance(news, dict) or not isinstance(news.get("hosts"), list) or "seq" not in news:
+            raise ValueError(f"not a list of endpoints: {str(news)[:100]}")
         for host in news["hosts"]:
             try:
                 hop = NextHop(
@@ -83,6 +84,7 @@
             except (KeyError, TypeError, ValueError) as error:
                 log("malformed_host", host=host, error=repr(error))
         self.seq = news["seq"]
+        scope = scope or (ListScope.FULL if news.get("whole") else ListScope.DELTA)
         self.courier.learn(scope, hops)
         if hops or scope is not ListScope.DELTA:
             changed = {hop.id: state.name for hop, state in hops} if scope is ListScope.DELTA else len(hops)
--- a/pinspread/net/front.py
+++ b/pinspread/net/front.py
@@ -44,6 +44,9 @@
                     return
         except OSError:
             pass  # the client is gone
+        except Exception as error:
+            # Danger: one caller leg's trouble would end the process and all that it serves.
+            log("fault", where="caller leg", error=repr(error))
         finally:
             connection.close()
 
--- a/pinspread/net/resp.py
+++ b/pinspread/net/resp.py
@@ -52,8 +52,8 @@
     head = bytes(view[at + 1 : at + MOST_LINE])
     end = head.find(b"\r\n")
     if end < 0:
-        if len(head) >= MOST_LINE - 1:
-            raise ProtocolError("a header line without an end")
+        if len(head) >= MOST_LINE - 1 or head.strip(b"-0123456789\r"):
+            raise ProtocolError("not a header line")
         return None
     digits = head[:end]
     if not digits.removeprefix(b"-").isdigit():
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,107 @@
+"""The journal: what is owed comes back whatever the file went through, within its bounds."""
+
+import os
+
+import pytest
+
+from pinspread.core.journal import Journal, JournalFull, records
+from pinspread.core.transactions import Final, State, Transaction
+
+
+def message(number, body=b"body", **more):
+    return Transaction(number, f"id{number}", "payment", "north", 1, 7, "ab12", 10**15, body=body, **more)
+
+
+def opened(folder, limit=100_000):
+    journal = Journal(folder, limit)
+    return journal, journal.open()
+
+
+def used(folder):
+    return sum(-(-f.stat().st_size // 512) * 512 for f in folder.iterdir())
+
+
+def test_what_is_owed_comes_back_in_order_with_its_branches_and_final(tmp_path):
+    journal, _ = opened(tmp_path)
+    held = [message(n, bytes(range(256))) for n in range(1, 6)]
+    for t in held:
+        journal.taken(t)
+    journal.branch_started(held[0], 0, 111)
+    journal.branch_ended(held[0], 0, True)
+    journal.branch_started(held[1], 0, 222)
+    journal.branch_ended(held[1], 0, False)
+    journal.branch_started(held[1], 1, 333)
+    journal.final(held[2], Final(State.RETURNED, 500))
+    journal.ended(held[3])
+    for _ in range(2):  # from the appended records, then from the rewritten file
+        journal.close()
+        journal, back = opened(tmp_path)
+        assert [t.number for t in back] == [1, 2, 3, 5] and back[0].body == bytes(range(256))
+        assert [(t.branches, t.may_run_us, t.live_us) for t in back[:2]] == [(1, 111, 0), (2, 0, 333)]
+        assert back[2].final == Final(State.RETURNED, 500) and back[0] == held[0]
+
+
+@pytest.mark.parametrize("cut", range(1, 40))
+def test_a_torn_tail_costs_only_the_torn_record(tmp_path, cut):
+    journal, _ = opened(tmp_path)
+    journal.taken(message(1))
+    size = journal.size
+    journal.taken(message(2))
+    os.truncate(journal.path, max(size, journal.size - cut))
+    journal.close()
+    assert [t.number for t in opened(tmp_path)[1]] == [1]
+
+
+@pytest.mark.parametrize("data", [b"", b"\0" * 64, b"\xff" * 64, b"\5\0\0\0" + b"x" * 9])
+def test_garbage_holds_no_records(data):
+    assert list(records(data)) == []
+
+
+def test_a_flipped_bit_ends_the_replay_without_a_crash(tmp_path):
+    journal, _ = opened(tmp_path)
+    for n in (1, 2):
+        journal.taken(message(n))
+    data = bytearray(journal.path.read_bytes())
+    data[-3] ^= 1
+    journal.path.write_bytes(data)
+    assert [t.number for t in opened(tmp_path)[1]] == [1]
+
+
+def test_old_and_new_file_together_stay_within_the_limit_and_full_is_said(tmp_path, monkeypatch):
+    limit, most = 60_000, 0
+    rename = os.rename
+
+    def measured(*names):
+        nonlocal most
+        most = max(most, used(tmp_path))  # the moment at which both files are there
+        rename(*names)
+
+    monkeypatch.setattr(os, "rename", measured)
+    journal, _ = opened(tmp_path, limit)
+    held, full = [], 0
+    for n in range(1, 3000):
+        t = message(n, b"x" * 300)
+        try:
+            journal.taken(t)
+            held.append(t)
+        except JournalFull:
+            full += 1
+            journal.ended(held.pop(0))
+        for branch in range(3):
+            journal.branch_started(held[n % len(held)], branch, n)
+    assert full and 0 < most <= limit and used(tmp_path) <= limit
+    journal.close()
+    assert [t.number for t in opened(tmp_path, limit)[1]] == [t.number for t in held]
+
+
+def test_a_short_write_is_taken_back_so_that_later_records_are_not_lost(tmp_path, monkeypatch):
+    journal, _ = opened(tmp_path)
+    journal.taken(message(1))
+    write = os.write
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", lambda fd, data: write(fd, data[:20]))  # the disk is full
+        with pytest.raises(JournalFull):
+            journal.taken(message(2))
+    journal.taken(message(3))
+    journal.close()
+    assert [t.number for t in opened(tmp_path)[1]] == [1, 3]
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,112 @@
+"""Tables of cases for what parses the platform's and AMQP's bytes, and the settings."""
+
+import pytest
+
+from pinspread.amqp import frames
+from pinspread.config import settings
+from pinspread.net import resp
+from pinspread.net.http import retry_after_us
+from pinspread.net.sockets import split_address
+
+
+def command(*words):
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(w), w) for w in words)
+
+
+GOOD = b"c=notice,t=acme,d=8000,k=5c0f,dest=7"
+
+
+@pytest.mark.parametrize("words", [[b"PING"], [b"X", b""], [b"E", b"\r\n$1\0*", bytes(range(256))]])
+def test_a_command_is_parsed_whole_or_not_at_all(words):
+    data = command(*words)
+    for end in range(len(data)):
+        assert resp.parse(memoryview(data)[:end]) is None
+    arguments, size = resp.parse(memoryview(data + b"*1\r\n"))
+    assert ([bytes(a) for a in arguments], size) == (words, len(data))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"PING\r\n", b"*0\r\n", b"*99\r\n", b"*-1\r\n", b"*x\r\n", b"*\r\n", b"*1\r\n:1\r\n", b"*1\r\n$-1\r\n"]
+    + [b"*1\r\n$9999999\r\n", b"*1\r\n$1\r\nxyz", b"*" + b"1" * 40, b"*1\r\n$1\r\nx\n\r", b"\0", b"*1\n\n"],
+)
+def test_a_stream_that_cannot_be_followed_is_an_error(data):
+    with pytest.raises(resp.ProtocolError):
+        resp.parse(memoryview(data + b"*" * 9))
+
+
+@pytest.mark.parametrize(
+    ("words", "why"),
+    [
+        ([b"0", b"id", GOOD], "takes key"),
+        ([b"xyz", b"id", GOOD, b""], "key"),
+        ([b"0" * 17, b"id", GOOD, b""], "key"),
+        ([b"0", b"", GOOD, b""], "id"),
+        ([b"0", b"a\r\nb", GOOD, b""], "id"),
+        ([b"0", b"x" * 65, GOOD, b""], "id"),
+        ([b"0", b"id", GOOD, b"x" * 65_537], "body"),
+        ([b"0", b"id", b"c", b""], "no value"),
+        ([b"0", b"id", b"c=a,c=b,d=1,dest=1", b""], "twice"),
+        ([b"0", b"id", b"c=a,dest=1", b""], "d is missing"),
+        ([b"0", b"id", b"c=a,d=1", b""], "dest is missing"),
+        ([b"0", b"id", b"d=1,dest=1", b""], "c is missing"),
+        ([b"0", b"id", b"c=a,d=-1,dest=1", b""], "d must"),
+        ([b"0", b"id", b"c=a,d=1e3,dest=1", b""], "d must"),
+        ([b"0", b"id", "c=a,d=²,dest=1".encode("latin-1"), b""], "d must"),
+        ([b"0", b"id", b"c=a,d=1,dest=65536", b""], "dest must"),
+        ([b"0", b"id", b"c=a,d=1,dest=1,k=a\nb", b""], "idempotency"),
+    ],
+)
+def test_a_malformed_enqueue_says_what_is_wrong(words, why):
+    with pytest.raises(resp.CommandError, match=why):
+        resp.enqueue([memoryview(w) for w in (b"ENQUEUE", *words)])
+
+
+def test_a_good_enqueue_gives_its_fields_and_its_body_as_a_slice():
+    words = (b"ENQUEUE", b"7f3a9c21e0b4d655", b"9b1f", GOOD, b"x" * 65_536)
+    key, id_, options, body = resp.enqueue([memoryview(w) for w in words])
+    assert (key, id_, len(body)) == (0x7F3A9C21E0B4D655, "9b1f", 65_536) and isinstance(body, memoryview)
+    assert options == {"c": "notice", "t": "acme", "d": 8000, "k": "5c0f", "dest": 7}
+
+
+@pytest.mark.parametrize(
+    ("text", "us"),
+    [(b"0.5", 500_001), (b"2", 2_000_001), (b"", 0), (b"-1", 0), (b"nan", 0), (b"inf", 0), (b"Tue, 01", 0)],
+)
+def test_a_told_wait_is_rounded_up_and_nonsense_is_none(text, us):
+    assert retry_after_us(text) == us
+
+
+@pytest.mark.parametrize("text", ["", "host", ":1", "host:", "host:x"])
+def test_an_address_is_host_and_port(text):
+    with pytest.raises(ValueError):
+        split_address(text)
+
+
+@pytest.mark.parametrize(
+    ("data", "code"),
+    [
+        (b"\x07\0\0\0\0\0\0\xce", frames.FRAME_ERROR),
+        (b"\x01\0\0\0\2\0\0", frames.FRAME_ERROR),
+        (b"\x03\0\1\0\0\0\1xx", frames.FRAME_ERROR),
+        (b"\x01\0\0\0\0\0\0\xce", frames.SYNTAX_ERROR),
+        (b"\x01\0\0\0\0\0\4\0\x0a\0\x0b\xce", frames.SYNTAX_ERROR),
+        (b"\x02\0\0\0\0\0\4\0\x3c\0\0\xce", frames.SYNTAX_ERROR),
+    ],
+)
+def test_a_frame_that_breaks_the_protocol_has_its_code(data, code):
+    with pytest.raises(frames.AmqpError) as caught:
+        frames.parse(memoryview(data))
+    assert caught.value.code == code
+
+
+def test_settings_flatten_to_the_simulators_lines():
+    nested = {"a": {"b": True, "c": [1, 2]}, "d": [{"e": "x y"}], "f": [], "g": 1.5}
+    lines = ["a.b=true", "a.c=1,2", "d.count=1", "d.0.e=x_y", "f=", "g=1.5"]
+    assert list(settings.flatten(nested)) == lines
+
+
+@pytest.mark.parametrize("told", [{}, {"settings": {}}, {"settings": {"lanes": 3}}])
+def test_a_configuration_that_cannot_be_used_is_named(told):
+    with pytest.raises(settings.SettingsError, match="configuration"):
+        settings.read(told, {})
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,329 @@
+"""The platform's rules on real sockets: one test a rule, against stand-ins."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import anyio
+import orjson
+import pytest
+from standins import Client, HttpStandIn, configuration, courier, host, listener, standing, until
+
+from pinspread.interface import ListState
+
+pytestmark = pytest.mark.anyio
+OK = (200, [], b"")
+HEARD = (204, [], b"")
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def platform():
+    return HttpStandIn(lambda request: HEARD)
+
+
+def scripted(*replies, then=OK):
+    """Answers in turn, and `then` for ever; an answer may be something to await."""
+    left = list(replies)
+    return HttpStandIn(lambda request: left.pop(0) if left else then)
+
+
+async def late(seconds, reply=OK):
+    await anyio.sleep(seconds)
+    return reply
+
+
+async def test_a_message_passes_on_unchanged_and_connections_are_reused(tmp_path):
+    hop, body = HttpStandIn(), bytes(range(256)) * 256
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        client = Client(rig.address)
+        assert await client.say("PING") == "+PONG\r\n"
+        for n in range(4):
+            assert await client.enqueue(id_=f"m{n}", body=body) == "+OK\r\n"
+            await until(lambda: not rig.courier.ids)
+        assert hop.connections == 1
+        _, method, target, headers, sent = hop.requests[0]
+        assert (method, target, sent, headers["idempotency-key"]) == ("POST", "/events", body, "ab12")
+        assert 0 < float(headers["request-timeout"]) <= 5 and headers["request-id"] == "m0"
+
+
+@pytest.mark.parametrize(
+    ("words", "answer"),
+    [
+        (("NONSENSE",), "-ERR unknown"),
+        (("ENQUEUE", "0"), "-ERR ENQUEUE takes"),
+        (("ENQUEUE", "0", "m1", "c=nonsense,t=north,d=1,dest=1", ""), "-ERR unknown class"),
+        (("ENQUEUE", "0", "m1", "c=payment,t=north,d=1,dest=1", "x" * 70_000), "-ERR a body"),
+    ],
+)
+async def test_malformed_commands_hear_an_error_and_the_connection_goes_on(tmp_path, words, answer):
+    async with courier(tmp_path) as rig:
+        client = Client(rig.address)
+        assert (await client.say(*words)).startswith(answer)
+        assert await client.say("ping") == "+PONG\r\n"
+        assert not rig.courier.ids
+
+
+async def test_a_stream_that_cannot_be_followed_hears_why_and_ends(tmp_path):
+    async with courier(tmp_path) as rig:
+        stream = await anyio.connect_tcp(*rig.address.split(":"))
+        await stream.send(b"GET / HTTP/1.1\r\n\r\n")
+        assert (await stream.receive()).startswith(b"-ERR")
+        with pytest.raises(anyio.EndOfStream):
+            await stream.receive()
+
+
+@pytest.mark.parametrize("full", [{"disk_mb": 0.0004}, {"mostHeld": 1}])
+async def test_without_room_the_answer_is_busy_with_a_time_and_nothing_is_owed(tmp_path, full):
+    async with courier(tmp_path, **full) as rig:
+        rig.courier.open[0] = None  # one place is taken
+        assert await Client(rig.address).enqueue() == "-BUSY 1000\r\n"
+        assert not rig.courier.ids
+
+
+async def test_a_request_sent_once_more_is_taken_on_once(tmp_path):
+    hop = HttpStandIn()
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        client = Client(rig.address)
+        for _ in range(3):
+            assert await client.enqueue(id_="same") == "+OK\r\n"
+            await until(lambda: not rig.courier.ids)
+        assert len(hop.requests) == 1
+
+
+@pytest.mark.parametrize(
+    ("reply", "payments", "state"),
+    [
+        ((500, [], b""), 1, "failed"),
+        (None, 1, "failed"),  # the connection ends without an answer: it may have run
+        ((429, [("Retry-After", "0.05")], b""), 2, None),
+        ((503, [], b""), 2, None),
+        ((503, [("X-Over-Slots", "1")], b""), 2, None),
+        ((504, [], b""), 2, None),
+        ((410, [], b""), 1, None),  # over: nothing more is owed
+    ],
+)
+async def test_a_payment_goes_again_only_after_proof_that_it_never_ran(tmp_path, reply, payments, state):
+    hop, told = scripted(reply), platform()
+    async with standing(hop) as address, standing(told) as notices:
+        async with courier(tmp_path, notices, hops=[(address,)]) as rig:
+            await Client(rig.address).enqueue()
+            await until(lambda: not rig.courier.ids)
+            assert len(hop.requests) == payments
+            assert [line["state"] for line in told.lines] == ([state] if state else [])
+
+
+async def test_a_timed_out_payment_fails_and_its_connection_is_closed(tmp_path):
+    hop, told = HttpStandIn(lambda request: late(30)), platform()
+    async with standing(hop) as address, standing(told) as notices:
+        async with courier(tmp_path, notices, hops=[(address,)]) as rig:
+            await Client(rig.address).enqueue(for_ms=300)
+            await until(lambda: told.lines)
+            assert told.lines == [{"id": "id1", "state": "failed"}] and len(hop.requests) == 1
+
+
+async def test_a_told_wait_silences_all_messages_to_that_partner(tmp_path):
+    hop = scripted((429, [("Retry-After", "0.4")], b""))
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        client = Client(rig.address)
+        for _ in range(3):
+            await client.enqueue("status-update")
+            await anyio.sleep(0.05)
+        await until(lambda: len(hop.requests) == 4)
+        assert hop.requests[1][0] - hop.requests[0][0] >= 0.4
+
+
+@pytest.mark.parametrize("change", ["drain", "wait", "deadline", "withdrawn"])
+async def test_what_changes_while_a_call_is_dialled_keeps_it_unsent(tmp_path, monkeypatch, change):
+    from pinspread.net import http
+
+    hop, dial = HttpStandIn(), http.dial
+
+    async def slowly(address):
+        await anyio.sleep(0.15)
+        return await dial(address)
+
+    monkeypatch.setattr(http, "dial", slowly)
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        await Client(rig.address).enqueue(for_ms=100 if change == "deadline" else 5000)
+        await until(lambda: rig.courier.branches)
+        if change == "drain":
+            rig.learn(address, state=ListState.DRAINING)
+        elif change == "wait":
+            rig.courier.told_us[1] = rig.courier.clock.now() + 10**9
+        elif change == "withdrawn":
+            rig.courier.withdraw(rig.courier.ids["id1"])
+        await anyio.sleep(0.4)
+        assert not hop.requests
+
+
+async def test_two_next_hops_of_other_partners_are_never_called(tmp_path):
+    hop = HttpStandIn()
+    async with standing(hop) as address, courier(tmp_path, hops=[(address, "s-2", 2)]) as rig:
+        await Client(rig.address).enqueue(dest=1, for_ms=200)
+        await anyio.sleep(0.4)
+        assert not hop.requests
+
+
+async def test_a_given_up_message_gets_its_notice_at_once_and_until_it_is_heard(tmp_path):
+    answers = [(500, [], b""), None, HEARD]
+    told = HttpStandIn(lambda request: answers.pop(0))
+    hop = HttpStandIn(lambda request: (500, [], b""))
+    async with standing(hop) as address, standing(told) as notices:
+        async with courier(tmp_path, notices, hops=[(address,)]) as rig:
+            await Client(rig.address).enqueue(for_ms=20_000)
+            await until(lambda: not rig.courier.ids)
+            first, *_, last = told.requests
+            assert first[0] - hop.requests[0][0] < 0.1 and last[0] - first[0] < 1
+            assert len(told.requests) == 3 and first[4] == last[4]
+
+
+async def test_a_key_goes_on_only_when_its_earlier_notice_has_been_answered(tmp_path):
+    slow = HttpStandIn(lambda request: late(0.3, HEARD))
+    hop = scripted(*[(500, [], b"")] * 6)
+    async with standing(hop) as address, standing(slow) as notices:
+        async with courier(tmp_path, notices, hops=[(address,)]) as rig:
+            client = Client(rig.address)
+            await client.enqueue("booking-change", key="77", for_ms=400)
+            await client.enqueue("booking-change", id_="second", key="77")
+            await until(lambda: any(r[3]["request-id"] == "second" for r in hop.requests))
+            sent = next(r[0] for r in hop.requests if r[3]["request-id"] == "second")
+            assert sent - slow.requests[0][0] >= 0.3
+
+
+async def test_attempts_are_at_most_six_over_restarts_too(tmp_path):
+    hop, told = HttpStandIn(lambda request: late(30)), platform()
+    async with standing(hop) as address, standing(told) as notices:
+        for _ in range(8):
+            async with courier(tmp_path, notices, hops=[(address,)]) as rig:
+                if not rig.courier.ids and not told.lines:
+                    await Client(rig.address).enqueue("status-update", for_ms=20_000)
+                before = len(hop.requests)
+                await until(lambda before=before: len(hop.requests) > before or told.lines)
+        assert len(hop.requests) == 6 and [line["state"] for line in told.lines] == ["returned"]
+
+
+async def test_an_idle_connection_that_the_next_hop_closed_is_not_written_to(tmp_path):
+    hop = HttpStandIn()
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        client = Client(rig.address)
+        for _ in range(2):
+            await client.enqueue()
+            await until(lambda: not rig.courier.ids)
+            for connection in list(hop.open):
+                connection.sock.shutdown(2)
+        assert len(hop.requests) == hop.connections == 2
+
+
+async def test_idle_connections_are_closed_before_the_next_hop_would(tmp_path):
+    hop = HttpStandIn()
+    async with standing(hop) as address:
+        async with courier(tmp_path, hops=[(address,)], keepaliveNs=500_000_000) as rig:
+            await Client(rig.address).enqueue()
+            await until(lambda: hop.requests)
+            await until(lambda: not hop.open, 1.0)
+
+
+@pytest.mark.parametrize("where", ["take", "send"])
+async def test_a_fault_of_one_message_does_not_end_the_courier(tmp_path, monkeypatch, where):
+    told = platform()
+    async with standing(told) as notices, courier(tmp_path, notices, hops=[("not an address",)]) as rig:
+        if where == "take":
+            monkeypatch.setattr(rig.courier, "take", lambda transaction: 1 / 0)
+            with pytest.raises(anyio.EndOfStream):
+                await Client(rig.address).enqueue()
+        else:
+            monkeypatch.setattr(rig.courier.transports["http"], "_call", None)
+            await Client(rig.address).enqueue(for_ms=300)
+            await until(lambda: told.lines)
+        assert await Client(rig.address).say("PING") == "+PONG\r\n"
+
+
+async def test_the_watch_follows_changes_and_survives_nonsense(tmp_path):
+    from pinspread.net.discovery import Discovery
+
+    lists = [b"nonsense\n", b"[]\n", b'{"seq":5,"whole":true,"hosts":[{"host":1}]}\n']
+    whole = {"seq": 7, "whole": True, "hosts": [host("s-1", "127.0.0.1:9"), host("s-2", "127.0.0.1:9")]}
+    change = {"seq": 8, "whole": False, "hosts": [host("s-1", "127.0.0.1:9", health="draining")]}
+    lists.append(orjson.dumps(whole) + b"\n\n" + orjson.dumps(change) + b"\n")
+    told = HttpStandIn(lambda request: (200, [], lists.pop(0) if lists else b""))
+    async with standing(told) as address, courier(tmp_path) as rig:
+        rig.tasks.start_soon(Discovery(address, rig.courier, rig.courier.settings).run)
+        hops = rig.courier.next_hops
+        await until(lambda: "s-1" in hops and not hops["s-1"].usable)
+        assert hops["s-2"].usable
+        await until(lambda: told.requests[-1][2] == "/api/targets?watch=1&from=8")
+
+
+class Process:
+    """A courier as the platform starts it."""
+
+    def __init__(self, folder, hop, discovery):
+        sock, self.address = listener()
+        sock.close()
+        (folder / "state").mkdir(exist_ok=True)
+        told = configuration(folder / "state")
+        told |= {"listen": self.address, "discovery": discovery}
+        told["known"]["hosts"] = [host("s-1", hop)]
+        (folder / "config.json").write_bytes(orjson.dumps(told))
+        env = os.environ | {"RELAY_CONFIG": str(folder / "config.json")}
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "pinspread"], env=env, stdout=subprocess.DEVNULL
+        )
+        self.client = Client(self.address)
+
+    async def ready(self):
+        with anyio.fail_after(10):
+            while True:
+                try:
+                    assert await self.client.say("PING") == "+PONG\r\n"
+                    return self
+                except OSError:
+                    await anyio.sleep(0.02)
+
+    async def end(self, how):
+        self.process.send_signal(how)
+        start = time.monotonic()
+        code = await anyio.to_thread.run_sync(self.process.wait)
+        return code, time.monotonic() - start
+
+
+async def test_killed_outright_it_delivers_what_it_had_taken_and_repeats_no_payment(tmp_path):
+    hop, told = scripted(late(30), late(30)), platform()
+    async with standing(hop) as address, standing(told) as notices:
+        first = await Process(tmp_path, address, notices).ready()
+        await first.client.enqueue("payment", "out", for_ms=20_000)
+        await first.client.enqueue("status-update", "repeatable", for_ms=20_000)
+        await until(lambda: len(hop.requests) == 2)
+        await first.end(signal.SIGKILL)
+        second = await Process(tmp_path, address, notices).ready()
+        await until(lambda: len(hop.requests) == 3 and told.lines)
+        assert hop.requests[2][3]["request-id"] == "repeatable"
+        assert told.lines == [{"id": "out", "state": "failed"}]
+        await second.end(signal.SIGKILL)
+
+
+async def test_sigterm_finishes_what_is_out_answers_busy_and_ends_in_time(tmp_path):
+    hop, told = scripted(late(1.0), late(60)), platform()
+    async with standing(hop) as address, standing(told) as notices:
+        process = await Process(tmp_path, address, notices).ready()
+        await process.client.enqueue(id_="out", for_ms=20_000)
+        await until(lambda: hop.requests)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(process.end, signal.SIGTERM)
+            await anyio.sleep(0.3)
+            assert await process.client.enqueue(id_="more") == "-BUSY 2000\r\n"
+            assert await Client(process.address).enqueue(id_="new") == "-BUSY 2000\r\n"
+        assert process.process.returncode == 0
+        again = await Process(tmp_path, address, notices).ready()
+        await anyio.sleep(0.2)
+        assert len(hop.requests) == 1 and not told.lines  # delivered: nothing is owed
+        await again.client.enqueue("status-update", "hung", for_ms=20_000)
+        await until(lambda: len(hop.requests) == 2)
+        code, seconds = await again.end(signal.SIGTERM)
+        assert code == 0 and seconds < 3.7
