--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -1,31 +1,108 @@
-"""The command line: `python -m pinspread [serve|version]`; bare, it serves."""
+"""The command line: serve, version, and the configuration tool; bare, it serves."""
 
 import argparse
 import sys
+from pathlib import Path
+
+import anyio
+
+from pinspread.config import settings
 
 VERSION = "0.1.0"
 
 
-def main(arguments=None):
-    """Run a sub-command; its exit code."""
-    parser = argparse.ArgumentParser(prog="pinspread", description="A courier of messages to partners.")
-    commands = parser.add_subparsers(dest="command")
-    commands.add_parser("serve", help="serve as the environment and its configuration file say")
+def parser():
+    """The sub-commands and their arguments."""
+    top = argparse.ArgumentParser(prog="pinspread", description="A courier of messages to partners.")
+    commands = top.add_subparsers(dest="command")
+    serve = commands.add_parser("serve", help="serve: as the platform says, or as an application's file does")
+    serve.add_argument("--app", metavar="FILE", help="an application's file; without it, RELAY_CONFIG counts")
     commands.add_parser("version", help="print the version")
-    chosen = parser.parse_args(arguments)
-    if chosen.command == "version":
-        print(f"pinspread {VERSION}")
-        return 0
-    from pinspread.config.settings import SettingsError
-    from pinspread.net import platform
+    config = commands.add_parser("config", help="write, check and show an application's file")
+    actions = config.add_subparsers(dest="action", required=True)
+    write = actions.add_parser("write", help="make a new application's file")
+    write.add_argument("name")
+    write.add_argument("--file", help="where to (deploy/NAME.toml)")
+    for name, text in (
+        ("check", "name every problem of a file with its place"),
+        ("records", "print the courier's own DNS-SD records"),
+        ("hops", "print the next hops that the file's discovery finds"),
+    ):
+        actions.add_parser(name, help=text).add_argument("file")
+    return top
 
+
+def main(arguments=None):
+    """Run a sub-command; its exit code."""
+    chosen = parser().parse_args(arguments)
     try:
-        platform.main()
-    except SettingsError as error:
-        print(f"pinspread: {error}", file=sys.stderr)
+        if chosen.command == "version":
+            print(f"pinspread {VERSION}")
+        elif chosen.command == "config":
+            return config(chosen)
+        elif getattr(chosen, "app", None):
+            serve_application(chosen.app)
+        else:
+            from pinspread.net import platform
+
+            anyio.run(platform.serve, settings.from_environment(), settings.amqp_file())
+    except settings.SettingsError as error:
+        print(error, file=sys.stderr)
         return 2
     return 0
 
 
+def config(chosen):
+    """The configuration tool; what only it needs is loaded only here."""
+    from pinspread.config import application, dnssd
+
+    if chosen.action == "write":
+        text = application.template(chosen.name)
+        found = application.problems(text)
+        if found:
+            raise settings.SettingsError("\n".join(found))
+        path = Path(chosen.file or f"deploy/{chosen.name}.toml")
+        try:
+            with open(path, "x") as file:  # never over a file that somebody has edited
+                file.write(text)
+        except OSError as error:
+            raise settings.SettingsError(f"{path}: {error.strerror}") from None
+        print(path)
+        return 0
+    file = application.load(chosen.file)
+    if chosen.action == "check":
+        print(f"{chosen.file}: no problems")
+    elif chosen.action == "records":
+        print(dnssd.own_records(file), end="")
+    else:
+        found = dnssd.browse(records(file), file.discovery.services, {k: n for n, k in enumerate(file.kinds)})
+        for hop, state in found:
+            print(f"{hop.dest}\t{hop.scheme}\t{hop.address}\t{state.name.lower()}\t{hop.id}")
+    return 0
+
+
+def records(file):
+    """The source of the file's DNS-SD records."""
+    from pinspread.config import dnssd
+
+    return dnssd.Records(file.discovery.domain, file.discovery.zone_file, file.discovery.server)
+
+
+def serve_application(path):
+    """Serve off the platform."""
+    from pinspread.config import application, dnssd
+    from pinspread.net import platform
+
+    file = application.load(path)
+    Path(file.journal.folder).mkdir(parents=True, exist_ok=True)
+    amqp = settings.AmqpFile(file.listen.amqp, file.listen.heartbeat_s)
+
+    def discover(courier):
+        wanted = file.discovery
+        return dnssd.DnsSd(courier, records(file), wanted.services, wanted.refresh_s)
+
+    anyio.run(platform.serve, application.told(file), amqp, discover)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/pinspread/config/application.py
@@ -0,0 +1,301 @@
+"""One application's configuration file: writing it, checking it, and turning it into a courier's settings.
+
+The file is TOML. Off the platform it says all that the platform would tell a courier.
+"""
+
+import os
+import tomllib
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+
+from pinspread.config import settings
+from pinspread.net.sockets import split_address
+
+SECOND = 1_000_000_000
+
+
+def _address(text: str) -> str:
+    if text and not 0 < split_address(text)[1] < 65_536:
+        raise ValueError("the port must be from 1 to 65535")
+    return text
+
+
+def _domain(text: str) -> str:
+    labels = text.rstrip(".").split(".")
+    if not all(0 < len(label) < 64 for label in labels):
+        raise ValueError("not a domain name")
+    return text.rstrip(".") + "."
+
+
+Address = Annotated[str, AfterValidator(_address)]
+Domain = Annotated[str, AfterValidator(_domain)]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$")]
+Seconds = Annotated[float, Field(gt=0, le=86_400)]
+
+
+class Part(BaseModel):
+    """A table of the file: no unknown names, no guessed types."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+
+class Application(Part):
+    name: Name
+
+
+class Listen(Part):
+    resp: Address = ""
+    amqp: Address = ""
+    heartbeat_s: Annotated[int, Field(ge=0, le=3600)] = 30
+
+
+class Journal(Part):
+    folder: Annotated[str, Field(min_length=1)]
+    disk_mb: Annotated[float, Field(ge=0.1, le=1024)] = 3
+
+
+class Limits(Part):
+    calls_out: Annotated[int, Field(ge=1, le=512)] = 16
+    most_held: Annotated[int, Field(ge=1, le=100_000)] = 200
+    max_attempts: Annotated[int, Field(ge=1, le=6)] = 6
+    couriers: Annotated[int, Field(ge=1, le=1000)] = 1
+    dial_s: Seconds = 1.0
+    keepalive_s: Seconds = 15.0
+    max_come_back_s: Seconds = 2.0
+
+
+class Discovery(Part):
+    domain: Domain
+    zone_file: str = ""
+    server: Address = ""
+    refresh_s: Seconds = 5.0
+    services: list[Annotated[str, Field(pattern=r"^_[a-z0-9-]{1,15}\._tcp$")]] = ["_http._tcp", "_amqp._tcp"]
+
+
+class Notices(Part):
+    address: Address
+
+
+class Class(Part):
+    name: Name
+    aim_s: Seconds
+    deadline_s: Seconds
+    effect: Literal["repeatable", "by_key", "once"]
+    window_s: Annotated[float, Field(ge=0, le=86_400)] = 0
+    in_order: bool = False
+    worth: Annotated[float, Field(gt=0)] = 1.0
+    late_share: Annotated[float, Field(ge=0, le=1)] = 0.5
+
+
+class Tenant(Part):
+    name: Name
+    share: Annotated[float, Field(gt=0, le=1)]
+    quota_per_s: Annotated[float, Field(gt=0)]
+
+
+class File(Part):
+    """A whole file."""
+
+    application: Application
+    listen: Listen
+    journal: Journal
+    discovery: Discovery
+    limits: Limits = Limits()
+    notices: Notices | None = None
+    kinds: Annotated[list[Name], Field(min_length=1)] = ["partner"]
+    classes: Annotated[list[Class], Field(alias="class", min_length=1)]
+    tenants: Annotated[list[Tenant], Field(alias="tenant", min_length=1)]
+
+
+def problems(text: str) -> list[str]:
+    """Everything that is wrong with a file's text, each with its place; empty if it is well."""
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        return [str(error)]
+    found = []
+    try:
+        File.model_validate(raw)
+    except ValidationError as error:
+        found = [f"{_place(e['loc'])}: {_words(e)}" for e in error.errors()]
+    return found + [f"{place}: {text}" for place, text in _disagreements(raw)]
+
+
+def _disagreements(raw):
+    """What is well by itself but not together, found whatever else is wrong."""
+
+    def table(name):
+        return raw[name] if isinstance(raw.get(name), dict) else {}
+
+    def tables(name):
+        items = raw.get(name)
+        return [i for i in items if isinstance(i, dict)] if isinstance(items, list) else []
+
+    listen, discovery = table("listen"), table("discovery")
+    if not listen.get("resp") and not listen.get("amqp"):
+        yield "listen", "nothing to listen on: give resp, amqp or both"
+    elif listen.get("resp") == listen.get("amqp"):
+        yield "listen.amqp", "resp has the same address"
+    if listen.get("resp") and "notices" not in raw:
+        yield "listen.resp", "needs notices.address: its clients hear of ends by notices"
+    if bool(discovery.get("zone_file")) == bool(discovery.get("server")):
+        yield "discovery", "give either zone_file or server"
+    for n, one in enumerate(tables("class")):
+        if one.get("effect") == "by_key" and not one.get("window_s"):
+            yield f"class[{n}].window_s", "effect by_key needs it above 0"
+        aim, deadline = one.get("aim_s"), one.get("deadline_s")
+        if isinstance(aim, int | float) and isinstance(deadline, int | float) and deadline < aim:
+            yield f"class[{n}].deadline_s", "is under aim_s"
+    for what in ("class", "tenant"):
+        names = [one.get("name") for one in tables(what)]
+        for n, name in enumerate(names):
+            if name is not None and name in names[:n]:
+                yield f"{what}[{n}].name", f"{name!r} is named twice"
+
+
+def _place(parts):
+    text = ""
+    for part in parts:
+        text += f"[{part}]" if isinstance(part, int) else f".{part}" if text else part
+    return text or "file"
+
+
+def _words(error):
+    return error["msg"].removeprefix("Value error, ")
+
+
+def load(path: str) -> File:
+    """A file that is well; `SettingsError` with all problems otherwise."""
+    try:
+        with open(path, "rb") as file:
+            text = file.read().decode()
+    except (OSError, UnicodeDecodeError) as error:
+        raise settings.SettingsError(f"{path}: {error}") from None
+    found = problems(text)
+    if found:
+        raise settings.SettingsError("\n".join(f"{path}: {line}" for line in found))
+    return File.model_validate(tomllib.loads(text))
+
+
+def told(file: File, seed: int | None = None) -> settings.Told:
+    """A courier's settings from its application's file, by way of the platform's form."""
+    limits = file.limits
+    lanes = [
+        {
+            "name": c.name,
+            "aimNs": int(c.aim_s * SECOND),
+            "deadlineNs": int(c.deadline_s * SECOND),
+            "effect": c.effect,
+            "group": "all",
+            "windowNs": int(c.window_s * SECOND),
+            "serialByKey": c.in_order,
+            "value": c.worth,
+            "lateShare": c.late_share,
+        }
+        for c in file.classes
+    ]
+    return settings.read(
+        {
+            "name": file.application.name,
+            "listen": file.listen.resp,
+            "discovery": file.notices.address if file.notices else "",
+            "state": file.journal.folder,
+            "seed": f"{int.from_bytes(os.urandom(8)) if seed is None else seed:x}",
+            "limits": {"disk_mb": file.journal.disk_mb},
+            "known": {"seq": 0, "whole": True, "hosts": []},
+            "settings": {
+                "balancers": limits.couriers,
+                "lanes": lanes,
+                "projects": [
+                    {"name": t.name, "quotaRps": t.quota_per_s, "share": t.share} for t in file.tenants
+                ],
+                "shapes": file.kinds,
+                "zones": ["local"],
+                "weights": "nominal",
+                "specifics": {
+                    "bundleMax": [1] * len(file.kinds),
+                    "kindApart": [False] * len(file.kinds),
+                    "callsOut": limits.calls_out,
+                    "late": "halves",
+                },
+                "rules": {
+                    "drainGraceNs": SECOND // 4,
+                    "coldFrom": 0.2,
+                    "coldNs": 9 * SECOND,
+                    "tipMultiple": 2.0,
+                },
+                "policyLimits": {
+                    "mostHeld": limits.most_held,
+                    "sendCap": limits.max_attempts,
+                    "probes": True,
+                    "retryAfter": True,
+                    "maxRetryAfterNs": int(limits.max_come_back_s * SECOND),
+                    "dialTimeoutNs": int(limits.dial_s * SECOND),
+                    "keepaliveNs": int(limits.keepalive_s * SECOND),
+                },
+            },
+        },
+        {},
+    )
+
+
+def template(name: str) -> str:
+    """A new application's file, which is well as it is."""
+    return f'''# The courier of the application "{name}". Check it with: python -m pinspread config check FILE
+
+[application]
+name = "{name}"
+
+[listen]                       # at least one; the AMQP front is off without an address
+resp = "127.0.0.1:6379"
+amqp = "127.0.0.1:5672"
+heartbeat_s = 30
+
+[notices]                      # where ends of RESP2 messages are told
+address = "127.0.0.1:8500"
+
+[journal]
+folder = "state"               # must last; old and new file together stay under disk_mb
+disk_mb = 3
+
+[limits]
+calls_out = 16                 # branches out at once
+most_held = 200                # transactions held, sent or not
+max_attempts = 6
+couriers = 1                   # that serve the same partners
+
+[discovery]                    # next hops by DNS-SD: either a zone file or a server
+domain = "partners.example."
+zone_file = "partners.zone"
+refresh_s = 5
+
+[[class]]
+name = "booking-change"
+aim_s = 3
+deadline_s = 24
+effect = "by_key"              # repeatable, by_key or once
+window_s = 25                  # for how long a repeat is dropped
+in_order = true                # one at a time for each key
+worth = 1
+
+[[class]]
+name = "status-update"
+aim_s = 4
+deadline_s = 16
+effect = "repeatable"
+worth = 2
+
+[[class]]
+name = "payment"
+aim_s = 2
+deadline_s = 20
+effect = "once"
+worth = 5
+late_share = 0.3
+
+[[tenant]]
+name = "all"
+share = 1.0
+quota_per_s = 30.0
+'''
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -1,4 +1,4 @@
-"""The courier on the platform: the core with the platform's front, next hops, discovery and notices."""
+"""Assembles a courier: the core with its fronts, transports, discovery and notices."""
 
 import signal
 
@@ -18,29 +18,33 @@
 from pinspread.net.http import HttpTransport, Pool
 
 
-async def serve(told: settings.Told, amqp: settings.AmqpFile):
-    """Serve until SIGTERM or SIGINT."""
+async def serve(told: settings.Told, amqp: settings.AmqpFile, discover=None):
+    """Serve until SIGTERM or SIGINT; `discover(courier)` makes another discovery than the platform's."""
     clock = Clock()
     journal = Journal(told.state, told.disk_bytes)
     courier = Courier(Sender(told.module, told.seed), told, clock, journal)
     pool = Pool(clock, told.keepalive_us)
     notices = front.Notices(told.discovery)
     courier.transports["http"] = HttpTransport(clock, pool, told.dial_us)
-    courier.fronts[front.NAME] = resp = front.RespFront(courier, notices)
+    courier.fronts[front.NAME] = first = front.RespFront(courier, notices)
     courier.fronts[AMQP] = second = AmqpFront(courier, amqp.heartbeat_s)
-    discovery = Discovery(told.discovery, courier, told)
+    discovery = discover(courier) if discover else Discovery(told.discovery, courier, told)
     courier.subscribe = discovery.ask
     discovery.start()
     courier.recover()
-    sock = sockets.listen(told.listen)  # from here on PING is answered: all that is owed is known again
+    # From here on PING is answered: all that is owed is known again.
+    listeners = [
+        (one, sockets.listen(address))
+        for one, address in ((first, told.listen), (second, amqp.listen))
+        if address
+    ]
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with anyio.create_task_group() as tasks:
+            courier.transports["amqp"] = BrokerTransport(clock, tasks, told.dial_us)
             for run in (courier.run, notices.run, discovery.run, pool.run):
                 tasks.start_soon(run)
-            courier.transports["amqp"] = BrokerTransport(clock, tasks, told.dial_us)
-            tasks.start_soon(resp.run, sock)
-            if amqp.listen:
-                tasks.start_soon(second.run, sockets.listen(amqp.listen))
+            for one, sock in listeners:
+                tasks.start_soon(one.run, sock)
             log("serving", name=told.name, listen=told.listen, amqp=amqp.listen)
             async for _ in signals:
                 break
@@ -48,8 +52,3 @@
             await second.close()
             tasks.cancel_scope.cancel()
     log("stopped")
-
-
-def main():
-    """Serve as the platform starts a courier."""
-    anyio.run(serve, settings.from_environment(), settings.amqp_file())
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,171 @@
+"""The configuration tool and DNS-SD, from a zone file and from a stand-in server on loopback."""
+
+import socket
+import threading
+
+import dns.flags
+import dns.message
+import dns.rrset
+import dns.zone
+import pytest
+from standins import AmqpClient, Broker, HttpStandIn, courier, standing, until
+
+from pinspread.__main__ import main
+from pinspread.config import application, dnssd, settings
+from pinspread.interface import ListState
+
+GOOD = application.template("booking")
+ZONE = """$TTL 60
+@ SOA ns hostmaster 1 60 60 60 60
+@ NS ns
+ns A 127.0.0.1
+_http._tcp PTR Lodge\\ One._http._tcp
+_http._tcp PTR park._http._tcp
+_http._tcp PTR broken._http._tcp
+_http._tcp PTR gone._http._tcp
+_amqp._tcp PTR pay._amqp._tcp
+Lodge\\ One._http._tcp SRV 0 0 {http} host
+Lodge\\ One._http._tcp TXT "dest=1" "DEST=9" "rate=12.5" "flag"
+park._http._tcp SRV 0 0 8081 host
+park._http._tcp TXT "dest=2" "state=draining"
+broken._http._tcp SRV 0 0 8082 host
+broken._http._tcp TXT "dest=x"
+pay._amqp._tcp SRV 0 0 {amqp} host
+pay._amqp._tcp TXT "dest=3" "exchange=pay" "routing_key=in"
+host A 127.0.0.1
+"""
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def test_what_config_write_makes_config_check_finds_well(tmp_path, capsys):
+    path = str(tmp_path / "booking.toml")
+    assert main(["config", "write", "booking", "--file", path]) == 0
+    assert main(["config", "check", path]) == 0
+    assert main(["config", "write", "booking", "--file", path]) == 2  # not over what is there
+    assert main(["config", "write", "no name", "--file", path + "2"]) == 2
+    assert main(["config", "check", path + "3"]) == 2
+    assert "application.name" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "places"),
+    [
+        ("aim_s = 3", 'aim_s = "3"', ["class[0].aim_s"]),
+        ('effect = "once"', 'effect = "never"', ["class[2].effect"]),
+        ("window_s = 25", "window_s = 0", ["class[0].window_s"]),
+        ("disk_mb = 3", "disk_mb = 0\nspare = 1", ["journal.disk_mb", "journal.spare"]),
+        ('resp = "127.0.0.1:6379"', 'resp = "nowhere"', ["listen.resp"]),
+        ("max_attempts = 6", "max_attempts = 7", ["limits.max_attempts"]),
+        ('zone_file = "partners.zone"', "", ["discovery"]),
+        ('domain = "partners.example."', 'domain = "a..b"', ["discovery.domain"]),
+        ("[notices]", "[spare]", ["spare", "listen.resp"]),
+        ('name = "payment"', 'name = "status-update"', ["class[2].name"]),
+        ("deadline_s = 24", "deadline_s = 2\nx = 1", ["class[0].x", "class[0].deadline_s"]),
+        ('amqp = "127.0.0.1:5672"', 'amqp = "127.0.0.1:6379"', ["listen.amqp"]),
+        ("couriers = 1", "couriers =", ["line"]),
+    ],
+)
+def test_config_check_names_every_problem_with_its_place(tmp_path, capsys, old, new, places):
+    assert old in GOOD
+    path = tmp_path / "f.toml"
+    path.write_text(GOOD.replace(old, new, 1))
+    assert main(["config", "check", str(path)]) == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == len(places)
+    assert all(place in line for place, line in zip(places, lines, strict=True))
+
+
+def test_the_couriers_own_records_are_a_zone_that_leads_to_it(tmp_path, capsys):
+    path = tmp_path / "f.toml"
+    path.write_text(GOOD)
+    assert main(["config", "records", str(path)]) == 0
+    zone = dns.zone.from_text(capsys.readouterr().out, "partners.example.", check_origin=False)
+    pointers = {str(r.target) for r in zone.get_rdataset("_services._dns-sd._udp", "PTR")}
+    assert pointers == {"_pinspread._tcp", "_amqp._tcp"}
+    for service, port in (("_pinspread._tcp", 6379), ("_amqp._tcp", 5672)):
+        (pointer,) = zone.get_rdataset(service, "PTR")
+        (found,) = zone.get_rdataset(pointer.target, "SRV")
+        assert found.port == port and str(zone.get_rdataset(found.target, "A")[0]) == "127.0.0.1"
+
+
+class DnsServer:
+    """A DNS server on loopback that answers from a zone."""
+
+    def __init__(self, text):
+        self.zone = dns.zone.from_text(text, "partners.example.", relativize=False)
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def serve(self):
+        while True:
+            try:
+                data, peer = self.sock.recvfrom(4096)
+            except OSError:
+                return
+            query = dns.message.from_wire(data)
+            answer = dns.message.make_response(query)
+            answer.flags |= dns.flags.AA | dns.flags.RA
+            question = query.question[0]
+            found = self.zone.get_rdataset(question.name, question.rdtype)
+            if found:
+                answer.answer.append(dns.rrset.from_rdata_list(question.name, 60, list(found)))
+            self.sock.sendto(answer.to_wire(), peer)
+
+
+@pytest.mark.parametrize("source", ["zone file", "server"])
+def test_next_hops_come_from_dns_sd_and_what_is_not_well_is_left_out(tmp_path, source):
+    text = ZONE.format(http=8080, amqp=5672)
+    if source == "server":
+        server = DnsServer(text)
+        records = dnssd.Records("partners.example.", server=server.address)
+    else:
+        (tmp_path / "z").write_text(text)
+        records = dnssd.Records("partners.example.", zone_file=str(tmp_path / "z"))
+    found = dnssd.browse(records, ["_http._tcp", "_amqp._tcp"], {})
+    lodge, park, pay = sorted(found, key=lambda f: f[0].dest)
+    assert (lodge[0].address, lodge[0].weight, lodge[1]) == ("127.0.0.1:8080", 12.5, ListState.READY)
+    assert park[1] is ListState.DRAINING
+    assert (pay[0].scheme, pay[0].route) == ("amqp", {"exchange": "pay", "routing_key": "in"})
+    if source == "server":
+        server.sock.close()
+
+
+@pytest.mark.anyio
+async def test_a_courier_off_the_platform_delivers_by_http_and_to_a_broker(tmp_path):
+    hop, broker = HttpStandIn(), Broker()
+    async with standing(hop) as http, standing(broker) as amqp, courier(tmp_path) as rig:
+        ports = {"http": http.split(":")[1], "amqp": amqp.split(":")[1]}
+        (tmp_path / "z").write_text(ZONE.format(**ports))
+        records = dnssd.Records("partners.example.", zone_file=str(tmp_path / "z"))
+        discovery = dnssd.DnsSd(rig.courier, records, ["_http._tcp", "_amqp._tcp"], 0.05)
+        rig.tasks.start_soon(discovery.run)
+        client = await AmqpClient.open(rig.amqp)
+        await client.consume()
+        await client.publish("h1", dest=1)
+        await client.publish("b1", dest=3)
+        states = dict([((await client.end())[0]["id"], n) for n in range(2)])
+        assert set(states) == {"h1", "b1"} and broker.effects == ["b1"] and len(hop.requests) == 1
+        (tmp_path / "z").write_text("not a zone")  # the list stays as it was
+        await until(lambda: rig.courier.next_hops)
+        assert rig.courier.next_hops["Lodge\\032One._http._tcp.partners.example."].usable
+
+
+def test_an_applications_file_becomes_settings_for_the_module(tmp_path):
+    told = application.told(application.File.model_validate(__import__("tomllib").loads(GOOD)), seed=1)
+    assert told.listen == "127.0.0.1:6379" and told.module.classes[0].in_order
+    assert told.keyed == {"booking-change"} and told.knows("payment", "all")
+
+
+def test_the_amqp_front_is_off_unless_its_file_gives_an_address(tmp_path):
+    assert settings.amqp_file().listen == "" and settings.amqp_file(tmp_path / "none").listen == ""
+    (tmp_path / "amqp.toml").write_text('listen = "127.0.0.1:5672"')
+    assert settings.amqp_file(tmp_path / "amqp.toml").listen == "127.0.0.1:5672"
+    (tmp_path / "amqp.toml").write_text("listening = 1")
+    with pytest.raises(settings.SettingsError):
+        settings.amqp_file(tmp_path / "amqp.toml")
