--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -7,6 +7,7 @@
 import anyio
 
 from pinspread.config import settings
+from pinspread.core.journal import JournalFull
 
 VERSION = "0.1.0"
 
@@ -49,6 +50,9 @@
     except settings.SettingsError as error:
         print(error, file=sys.stderr)
         return 2
+    except (JournalFull, OSError) as error:  # no folder to write to, an address in use
+        print(f"pinspread: {error}", file=sys.stderr)
+        return 1
     return 0
 
 
@@ -101,7 +105,7 @@
         wanted = file.discovery
         return dnssd.DnsSd(courier, records(file), wanted.services, wanted.refresh_s)
 
-    anyio.run(platform.serve, application.told(file), amqp, discover)
+    anyio.run(platform.serve, application.told(file), amqp, discover, file.brokers.login())
 
 
 if __name__ == "__main__":
--- a/pinspread/amqp/broker.py
+++ b/pinspread/amqp/broker.py
@@ -15,14 +15,15 @@
 
 HEARTBEAT_S = 10
 BLOCKED_WAIT_US = 1_000_000  # a broker that blocks publishers tells no time: look again after this
-PLAIN = "\0guest\0guest"
+GUEST = "\0guest\0guest"  # the PLAIN response that the specification's default user has
 
 
 class BrokerTransport:
     """Publishes branches to brokers."""
 
-    def __init__(self, clock, tasks, dial_us, heartbeat_s=HEARTBEAT_S):
+    def __init__(self, clock, tasks, dial_us, login=GUEST, heartbeat_s=HEARTBEAT_S):
         self.clock = clock
+        self.login = login
         self.tasks = tasks
         self.dial_us = dial_us
         self.heartbeat_s = heartbeat_s
@@ -78,7 +79,7 @@
                 connection = await dial(hop.address)
                 try:
                     link = Link(hop, connection, self.clock)
-                    await link.greet(self.heartbeat_s)
+                    await link.greet(self.login, self.heartbeat_s)
                 except BaseException:
                     connection.close()
                     raise
@@ -122,16 +123,14 @@
         self.unblocked = anyio.Event()
         self.unblocked.set()
 
-    async def greet(self, heartbeat_s):
+    async def greet(self, login, heartbeat_s):
         """Open the connection and a channel in confirm mode."""
         wire = self.wire
         await wire.connection.write(frames.GREETING)
         await wire.method("Connection.Start")
         capabilities = {"connection.blocked": True, "publisher_confirms": True, "basic.nack": True}
         properties = {"product": "pinspread", "capabilities": capabilities}
-        await wire.send(
-            commands.Connection.StartOk(properties, "PLAIN", self.route.get("login", PLAIN), "en_US")
-        )
+        await wire.send(commands.Connection.StartOk(properties, "PLAIN", login, "en_US"))
         tune = await wire.method("Connection.Tune")
         wire.frame_max = min(tune.frame_max or frames.FRAME_MAX, frames.FRAME_MAX)
         self.heartbeat_s = min(tune.heartbeat, heartbeat_s) if tune.heartbeat else heartbeat_s
--- a/pinspread/amqp/front.py
+++ b/pinspread/amqp/front.py
@@ -45,8 +45,9 @@
     tells_delivery = True
     over_when_heard = False  # a key goes on once the end is in the journal: consumers may be away for long
 
-    def __init__(self, courier, heartbeat_s=HEARTBEAT_S):
+    def __init__(self, courier, heartbeat_s=HEARTBEAT_S, room=None):
         self.courier = courier
+        self.room = room
         self.heartbeat_s = heartbeat_s
         self.queues = {}
         self.sessions = set()
@@ -55,7 +56,7 @@
         """Accept and serve until cancelled."""
         try:
             async with anyio.create_task_group() as tasks:
-                await accept_forever(sock, tasks, self.serve)
+                await accept_forever(sock, tasks, self.serve, self.room)
         finally:
             sock.close()
 
--- a/pinspread/config/application.py
+++ b/pinspread/config/application.py
@@ -73,6 +73,21 @@
     services: list[Annotated[str, Field(pattern=r"^_[a-z0-9-]{1,15}\._tcp$")]] = ["_http._tcp", "_amqp._tcp"]
 
 
+class Brokers(Part):
+    user: Annotated[str, Field(min_length=1)] = "guest"
+    password_file: str = ""  # read at the start; the password does not stand in this file
+
+    def login(self) -> str:
+        """The response of AMQP's PLAIN mechanism."""
+        if not self.password_file:
+            return f"\0{self.user}\0guest"
+        try:
+            with open(self.password_file) as file:
+                return f"\0{self.user}\0{file.readline().rstrip()}"
+        except OSError as error:
+            raise settings.SettingsError(f"brokers.password_file: {error}") from None
+
+
 class Notices(Part):
     address: Address
 
@@ -102,6 +117,7 @@
     journal: Journal
     discovery: Discovery
     limits: Limits = Limits()
+    brokers: Brokers = Brokers()
     notices: Notices | None = None
     kinds: Annotated[list[Name], Field(min_length=1)] = ["partner"]
     classes: Annotated[list[Class], Field(alias="class", min_length=1)]
@@ -270,6 +286,9 @@
 zone_file = "partners.zone"
 refresh_s = 5
 
+[brokers]                      # how to log in where a next hop is an AMQP broker
+user = "guest"                 # password_file = "..." names a file whose first line is the password
+
 [[class]]
 name = "booking-change"
 aim_s = 3
--- a/pinspread/config/settings.py
+++ b/pinspread/config/settings.py
@@ -27,6 +27,7 @@
     state: str
     seed: int
     disk_bytes: int
+    sockets: int
     known: dict
     module: api.Settings
     classes: dict  # name -> place in the module's settings
@@ -113,6 +114,7 @@
             state=env.get("RELAY_STATE") or told["state"],
             seed=int(str(told["seed"]), 16),
             disk_bytes=int(told["limits"]["disk_mb"] * 1_000_000),
+            sockets=told["limits"].get("sockets", 1024),
             known=told["known"],
             module=module,
             classes=_places(settings["lanes"]),
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -15,7 +15,6 @@
 PROBE_US = 1_500_000
 DRAIN_US = 3_200_000  # after SIGTERM: the process is killed 3.7 s after it
 LINGER_US = 500_000  # new callers keep arriving for a while and must hear a busy answer
-ENDED_KEPT = 4096  # ids remembered, for callers that send a request once more on a new connection
 
 
 class Busy(Exception):
@@ -40,9 +39,8 @@
         self.tasks = None
         self.open = {}  # number -> transaction without a final answer
         self.ids = {}  # id -> its transaction, for those that are not over
-        self.past = {}  # ids that are over, oldest first
         self.next_hops = {}
-        self.told_us = {}  # dest -> until when it told this courier to wait
+        self.told_us = {}  # dest, or route apart -> until when it told this courier to wait
         self.notified = {}  # key -> how many of its ends are still to be heard
         self.branches = {}  # (number, branch) -> Branch
         self.stopping = False
@@ -75,7 +73,7 @@
 
     def take(self, transaction: Transaction):
         """Take a transaction on: it is in the journal when this returns. Raises Busy."""
-        if transaction.id in self.ids or transaction.id in self.past:
+        if transaction.id in self.ids or transaction.id in self.journal.past:
             return  # sent once more on a new connection: it is taken on already
         if self.stopping:
             raise Busy(self.settings.max_come_back_ms, "shutting down")
@@ -217,7 +215,7 @@
             return "shutting down"
         if not self.next_hops[hop.id].usable:
             return "drains or is gone"
-        if self.told_us.get(hop.dest, 0) > self.clock.now():
+        if self.told_us.get(self._line(hop), 0) > self.clock.now():
             return "told to wait"
         return ""
 
@@ -259,7 +257,13 @@
 
     def _heed(self, hop, outcome, now_us):
         if outcome.wait_us:
-            self.told_us[hop.dest] = max(self.told_us.get(hop.dest, 0), now_us + outcome.wait_us)
+            line = self._line(hop)
+            self.told_us[line] = max(self.told_us.get(line, 0), now_us + outcome.wait_us)
+
+    def _line(self, hop):
+        """What a told wait binds: a partner, or the one next hop where its routes are apart."""
+        kinds = self.settings.module.kinds
+        return hop.id if hop.kind < len(kinds) and kinds[hop.kind].routes_apart else hop.dest
 
     async def _probe(self, hop, started_us):
         with anyio.move_on_after(PROBE_US / SECOND_US) as limit:
@@ -301,9 +305,6 @@
     def _over(self, transaction):
         self._record(self.journal.ended, transaction)
         del self.ids[transaction.id]
-        self.past[transaction.id] = None
-        if len(self.past) > ENDED_KEPT:
-            del self.past[next(iter(self.past))]
 
     def _record(self, write, *what):
         try:
--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -20,7 +20,7 @@
 _FINAL = struct.Struct("<BQBI")  # state, after_ms
 _SUMMARY = struct.Struct("<BQBQQ")  # branches, first that may have run, the one that is out
 _TAKEN = struct.Struct("<BQH")  # length of the JSON that comes before the body
-TAKEN, BRANCH, BRANCH_END, FINAL, ENDED, SUMMARY = range(1, 7)
+TAKEN, BRANCH, BRANCH_END, FINAL, ENDED, SUMMARY, PAST = range(1, 8)
 
 SMALL = 2 * _HEAD.size + _SUMMARY.size + _FINAL.size  # what a live transaction adds to its TAKEN record
 MOST_RECORD = 1 << 20
@@ -38,11 +38,14 @@
         self.fresh = Path(folder) / "journal.new"
         # Danger: while it is rewritten both files count, each in whole blocks; the sum must stay under.
         self.most = limit_bytes * 48 // 100
-        self.most_live = self.most * 9 // 10  # the rest is for branches and ends, which are never refused
+        self.most_live = self.most * 85 // 100
+        self.most_past = self.most * 5 // 100  # the rest is for branches and ends, which are never refused
         self.size = 0
         self.live_bytes = 0
         self.live: dict[int, Transaction] = {}
         self.sizes: dict[int, int] = {}
+        self.past: dict[str, int] = {}  # ids that are over, oldest first, and the sizes of their records
+        self.past_bytes = 0
         self.fd = -1
 
     def open(self) -> list[Transaction]:
@@ -51,7 +54,6 @@
         data = self.path.read_bytes() if self.path.exists() else b""
         for payload in records(data):
             self._replay(payload)
-        self.live_bytes = sum(self.sizes.values())
         self._rewrite()
         return list(self.live.values())
 
@@ -90,6 +92,7 @@
         if self.live.pop(transaction.number, None) is None:
             return
         self.live_bytes -= self.sizes.pop(transaction.number)
+        self._remember(transaction.id)
         self._append(_record(_NUMBER.pack(ENDED, transaction.number)))
 
     # --- the file ---------------------------------------------------------------------------------
@@ -99,6 +102,14 @@
         self.sizes[transaction.number] = need
         self.live_bytes += need
 
+    def _remember(self, id_):
+        # Danger: a publisher that lost its connection before the confirm publishes the same id again, and
+        # a payment that was over by then would go a second time, after a restart too.
+        self.past[id_] = size = len(_past(id_))
+        self.past_bytes += size
+        while self.past_bytes > self.most_past:
+            self.past_bytes -= self.past.pop(next(iter(self.past)))
+
     def _append(self, record):
         if self.size + len(record) > self.most:
             self._rewrite()
@@ -113,7 +124,7 @@
         self.size += written
 
     def _rewrite(self):
-        parts = []
+        parts = [_past(id_) for id_ in self.past]
         for transaction in self.live.values():
             parts.append(_taken(transaction))
             t = transaction
@@ -148,6 +159,9 @@
             self._hold(Transaction(number, body=body, **told), _HEAD.size + len(payload) + SMALL)
             return
         _, number = _NUMBER.unpack_from(payload)
+        if kind == PAST:
+            self._remember(str(payload[_NUMBER.size :], "utf-8"))
+            return
         transaction = self.live.get(number)
         if transaction is None:
             return
@@ -163,7 +177,9 @@
         elif kind == SUMMARY:
             *_, transaction.branches, transaction.may_run_us, transaction.live_us = _SUMMARY.unpack(payload)
         elif kind == ENDED:
-            del self.live[number], self.sizes[number]
+            del self.live[number]
+            self.live_bytes -= self.sizes.pop(number)
+            self._remember(transaction.id)
 
 
 def records(data):
@@ -192,6 +208,10 @@
     return _record(_TAKEN.pack(TAKEN, t.number, len(text)) + text + t.body)
 
 
+def _past(id_):
+    return _record(_NUMBER.pack(PAST, 0) + id_.encode())
+
+
 def _end_branch(transaction, may_have_run):
     if may_have_run and not transaction.may_run_us:
         transaction.may_run_us = transaction.live_us
--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -519,7 +519,8 @@
             endpoint.trial_ns = self.now
         elif event.verdict is api.Verdict.FULL:
             self.refused(endpoint, 0, self.now)
-        else:
+        elif event.verdict is not api.Verdict.MOOT:
+            # Danger: a probe that was never sent tells nothing, least of all of an outage.
             endpoint.doubt += DOUBT_WEIGHT * (1 - endpoint.doubt)
             self.mark_down(endpoint)
 
@@ -650,6 +651,9 @@
                     continue
                 if not safe and self.settings.may_probe and not endpoint.probed:
                     endpoint.probing = True
+                    if endpoint.cold_ns:
+                        # Danger: a probe weighs like a call on a partner that returns cold (rule 4).
+                        endpoint.next_ns = self.ramp_next(endpoint, 1.0)
                     self.actions.append(api.Probe(endpoint.id))
                     continue
                 ready = safe or ready[:1]
--- a/pinspread/net/front.py
+++ b/pinspread/net/front.py
@@ -22,14 +22,15 @@
     tells_delivery = False  # the platform sees a delivery by itself
     over_when_heard = True
 
-    def __init__(self, courier, notices):
+    def __init__(self, courier, notices, room=None):
         self.courier = courier
         self.notices = notices
+        self.room = room
 
     async def run(self, sock):
         """Accept and serve until cancelled."""
         async with anyio.create_task_group() as tasks:
-            await accept_forever(sock, tasks, self.serve)
+            await accept_forever(sock, tasks, self.serve, self.room)
 
     async def serve(self, connection):
         """One caller leg."""
--- a/pinspread/net/http.py
+++ b/pinspread/net/http.py
@@ -12,6 +12,7 @@
     0.8  # of the time after which a next hop closes idle connections: written to later, a call is lost
 )
 SWEEP_S = 0.5
+SLOT_S = 0.05
 
 
 class Exchange:
@@ -188,6 +189,10 @@
         if exchange.reusable:
             self.pool.keep(hop, state.connection)
             state.connection = None
+        if outcome.verdict is Verdict.MOOT and not outcome.over:
+            # Danger: a call that was given up holds its slot there until its end is seen; tried again at
+            # once, one message would spend all its attempts on the slot of another.
+            await anyio.sleep(SLOT_S)
         return outcome
 
     async def probe(self, hop: NextHop, clear) -> Outcome:
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from pinspread.amqp.broker import BrokerTransport
+from pinspread.amqp.broker import GUEST, BrokerTransport
 from pinspread.amqp.front import NAME as AMQP
 from pinspread.amqp.front import AmqpFront
 from pinspread.config import settings
@@ -18,7 +18,7 @@
 from pinspread.net.http import HttpTransport, Pool
 
 
-async def serve(told: settings.Told, amqp: settings.AmqpFile, discover=None):
+async def serve(told: settings.Told, amqp: settings.AmqpFile, discover=None, login=GUEST):
     """Serve until SIGTERM or SIGINT; `discover(courier)` makes another discovery than the platform's."""
     clock = Clock()
     journal = Journal(told.state, told.disk_bytes)
@@ -26,8 +26,9 @@
     pool = Pool(clock, told.keepalive_us)
     notices = front.Notices(told.discovery)
     courier.transports["http"] = HttpTransport(clock, pool, told.dial_us)
-    courier.fronts[front.NAME] = first = front.RespFront(courier, notices)
-    courier.fronts[AMQP] = second = AmqpFront(courier, amqp.heartbeat_s)
+    room = sockets.Room(told.sockets // 2)
+    courier.fronts[front.NAME] = first = front.RespFront(courier, notices, room)
+    courier.fronts[AMQP] = second = AmqpFront(courier, amqp.heartbeat_s, room)
     discovery = discover(courier) if discover else Discovery(told.discovery, courier, told)
     courier.subscribe = discovery.ask
     discovery.start()
@@ -40,7 +41,7 @@
     ]
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with anyio.create_task_group() as tasks:
-            courier.transports["amqp"] = BrokerTransport(clock, tasks, told.dial_us)
+            courier.transports["amqp"] = BrokerTransport(clock, tasks, told.dial_us, login)
             for run in (courier.run, notices.run, discovery.run, pool.run):
                 tasks.start_soon(run)
             for one, sock in listeners:
--- a/pinspread/net/resp.py
+++ b/pinspread/net/resp.py
@@ -2,7 +2,7 @@
 
 MOST_ARGUMENTS = 16
 MOST_BODY = 64 * 1024
-MOST_BULK = 1 << 20  # longer ones end the connection; up to it a command is read and answered with an error
+MOST_BULK = 96 * 1024  # longer ones end the connection; up to it a command is read and answered an error
 MOST_LINE = 32
 MOST_FOR_MS = 10**9
 MOST_DEST = 65_535
--- a/pinspread/net/sockets.py
+++ b/pinspread/net/sockets.py
@@ -26,8 +26,25 @@
     return sock
 
 
-async def accept_forever(sock: socket.socket, tasks, serve):
-    """Start `serve(connection)` for each connection that comes."""
+class Room:
+    """How many caller legs the fronts may hold together."""
+
+    def __init__(self, most=512):
+        self.most = most
+        self.used = 0
+
+
+async def accept_forever(sock: socket.socket, tasks, serve, room: Room | None = None):
+    """Start `serve(connection)` for each connection that comes and finds room."""
+    room = room or Room()
+
+    async def held(connection):
+        room.used += 1
+        try:
+            await serve(connection)
+        finally:
+            room.used -= 1
+
     while True:
         try:
             peer, _ = sock.accept()
@@ -39,7 +56,12 @@
                 raise
             await anyio.sleep(0.05)  # out of descriptors: those in use must not be lost
             continue
-        tasks.start_soon(serve, Connection(peer))
+        if room.used >= room.most:
+            # Danger: callers that take all descriptors leave none for branches, notices and the journal.
+            peer.close()
+            await anyio.sleep(0)
+            continue
+        tasks.start_soon(held, Connection(peer))
 
 
 async def dial(address: str) -> "Connection":
--- a/tests/test_amqp_front.py
+++ b/tests/test_amqp_front.py
@@ -68,6 +68,9 @@
         await until(lambda: not rig.courier.ids)
     async with courier(tmp_path) as rig:
         assert not rig.courier.ids
+        client = await AmqpClient.open(rig.amqp)
+        await client.publish("m1")  # its publisher missed the confirm
+        assert isinstance((await client.next())[0], commands.Basic.Ack) and not rig.courier.ids
 
 
 async def test_prefetch_bounds_what_is_out_and_requeued_ends_come_first(tmp_path):
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -38,6 +38,7 @@
         journal, back = opened(tmp_path)
         assert [t.number for t in back] == [1, 2, 3, 5] and back[0].body == bytes(range(256))
         assert [(t.branches, t.may_run_us, t.live_us) for t in back[:2]] == [(1, 111, 0), (2, 0, 333)]
+        assert list(journal.past) == ["id4"]
         assert back[2].final == Final(State.RETURNED, 500) and back[0] == held[0]
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -86,6 +86,19 @@
         assert not rig.courier.ids
 
 
+async def test_callers_beyond_the_room_are_turned_away_and_the_rest_go_on(tmp_path):
+    from pinspread.net.sockets import Room
+
+    async with courier(tmp_path, room=Room(2)) as rig:
+        first, second = Client(rig.address), Client(rig.address)
+        assert await first.say("PING") == await second.say("PING") == "+PONG\r\n"
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+            await Client(rig.address).say("PING")
+        await first.stream.aclose()
+        await until(lambda: rig.courier.fronts["resp"].room.used == 1)
+        assert await Client(rig.address).say("PING") == "+PONG\r\n"
+
+
 async def test_a_request_sent_once_more_is_taken_on_once(tmp_path):
     hop = HttpStandIn()
     async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
@@ -327,3 +340,25 @@
         await until(lambda: len(hop.requests) == 2)
         code, seconds = await again.end(signal.SIGTERM)
         assert code == 0 and seconds < 3.7
+
+
+def test_a_log_that_nobody_reads_does_not_stall_the_courier():
+    code = "from pinspread.core.log import log\nfor n in range(3000): log('e', n=n, text='x' * 100)"
+    process = subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE)
+    assert process.wait(10) == 0
+    lines = process.stdout.read().splitlines()
+    assert 0 < len(lines) < 3000  # the rest was dropped, and no line was cut
+    assert all(orjson.loads(line)["event"] == "e" for line in lines)
+
+
+@pytest.mark.parametrize("broken", ["state", "listen"])
+def test_what_keeps_a_courier_from_starting_is_said_in_a_line(tmp_path, broken):
+    sock, address = listener()
+    told = configuration(tmp_path)
+    told |= {"state": str(tmp_path / "none")} if broken == "state" else {"listen": address}
+    (tmp_path / "c.json").write_bytes(orjson.dumps(told))
+    env = os.environ | {"RELAY_CONFIG": str(tmp_path / "c.json")}
+    command = [sys.executable, "-m", "pinspread"]
+    ended = subprocess.run(command, env=env, capture_output=True, timeout=10, text=True)
+    sock.close()
+    assert ended.returncode == 1 and ended.stderr.count("\n") == 1 and "pinspread: " in ended.stderr
