--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -44,6 +44,8 @@
 LATENCY_GAIN = 0.125  # weight of the newest latency in the mean, half of it again in the deviation
 TIMEOUT_SPREAD = 4  # time-out: twice (mean + this many deviations)
 LEAST_TIMEOUT_NS = SECOND  # no time-out under this: a jam must not turn into lost calls
+UNSAFE_STRETCH = 2.5  # longer time-outs of unsafe messages, which a time-out loses
+CROWDED_STRETCH = 1.5  # and where half the slots are taken: what hangs must not take them all
 MOST_STRETCH = 2.0  # growth of time-outs while they strike: slow is followed, hung does not eat slots
 RESTS_KEPT = 256  # keys at rest that are kept before those rested are dropped
 FEW = 4  # senders that need not mind their sum; more share idle connections and looks at outages
@@ -740,7 +742,10 @@
     def timeout(self, message, endpoint):
         """How long to wait for an answer: learned from the latencies, longer while calls time out."""
         # Giving an unsafe message up early gains only the slot, and loses the message.
-        stretch = 1.5 if message.rule.effect is api.Effect.ONCE else 1.0
+        stretch = 1.0
+        if message.rule.effect is api.Effect.ONCE:
+            roomy = 2 * self.calls_out < self.settings.calls_out
+            stretch = UNSAFE_STRETCH if roomy else CROWDED_STRETCH
         learned = 2 * (endpoint.mean_ns + TIMEOUT_SPREAD * endpoint.dev_ns) or message.rule.aim_ns
         wait = int(max(LEAST_TIMEOUT_NS, learned) * stretch * endpoint.stretch)
         return max(1, min(wait, message.deadline_ns - self.now))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -714,3 +714,10 @@
     if answer is api.Send:
         desk.attempts[1] = (attempts, "a")
         assert not desk.sent(desk.end(1)) and not desk.sender.messages
+
+
+def test_unsafe_messages_are_waited_for_longer_while_slots_are_free():
+    desk = Desk(endpoints=[(f"e{n}", n) for n in range(1, 9)])
+    waits = [a.timeout_ns for n in range(1, 9) for a in desk.take(cls=UNSAFE, destination=n)]
+    roomy, crowded = waits[0], waits[-1]
+    assert len(waits) == 8 and roomy / crowded == pytest.approx(2.5 / 1.5, rel=0.01)
