--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -73,7 +73,10 @@
 
     def take(self, transaction: Transaction):
         """Take a transaction on: it is in the journal when this returns. Raises Busy."""
-        if transaction.id in self.ids or transaction.id in self.journal.past:
+        known = self.ids.get(transaction.id)
+        if known is not None and known.final is not None and known.final.state is State.RETURNED:
+            raise Busy(BUSY_MS, "it was returned, and that has not been heard yet")
+        if known is not None or transaction.id in self.journal.past:
             return  # sent once more on a new connection: it is taken on already
         if self.stopping:
             raise Busy(self.settings.max_come_back_ms, "shutting down")
--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -92,7 +92,7 @@
         if self.live.pop(transaction.number, None) is None:
             return
         self.live_bytes -= self.sizes.pop(transaction.number)
-        self._remember(transaction.id)
+        self._remember(transaction)
         self._append(_record(_NUMBER.pack(ENDED, transaction.number)))
 
     # --- the file ---------------------------------------------------------------------------------
@@ -102,9 +102,14 @@
         self.sizes[transaction.number] = need
         self.live_bytes += need
 
-    def _remember(self, id_):
+    def _remember(self, transaction):
         # Danger: a publisher that lost its connection before the confirm publishes the same id again, and
-        # a payment that was over by then would go a second time, after a restart too.
+        # a payment that was over by then would go a second time, after a restart too. What was returned
+        # may come again under its id: it must not be taken for such a repeat.
+        if transaction.final is None or transaction.final.state is not State.RETURNED:
+            self._past_id(transaction.id)
+
+    def _past_id(self, id_):
         self.past[id_] = size = len(_past(id_))
         self.past_bytes += size
         while self.past_bytes > self.most_past:
@@ -160,7 +165,7 @@
             return
         _, number = _NUMBER.unpack_from(payload)
         if kind == PAST:
-            self._remember(str(payload[_NUMBER.size :], "utf-8"))
+            self._past_id(str(payload[_NUMBER.size :], "utf-8"))
             return
         transaction = self.live.get(number)
         if transaction is None:
@@ -179,7 +184,7 @@
         elif kind == ENDED:
             del self.live[number]
             self.live_bytes -= self.sizes.pop(number)
-            self._remember(transaction.id)
+            self._remember(transaction)
 
 
 def records(data):
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -1,6 +1,9 @@
 """Tables of cases for what parses the platform's and AMQP's bytes, and the settings."""
 
+import random
+
 import pytest
+from pamqp import commands
 
 from pinspread.amqp import frames
 from pinspread.config import settings
@@ -110,3 +113,39 @@
 def test_a_configuration_that_cannot_be_used_is_named(told):
     with pytest.raises(settings.SettingsError, match="configuration"):
         settings.read(told, {})
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_mutated_bytes_raise_nothing_but_what_the_fronts_expect(seed):
+    chance = random.Random(seed)
+    properties = commands.Basic.Properties(headers={"class": "payment", "dest": 1}, message_id="m1")
+    publish = frames.content(commands.Basic.Publish(0, "", "x", True), properties, b"body", 1)
+    for _ in range(2000):
+        for data, parse, expected in (
+            (command(b"ENQUEUE", b"0", b"id", GOOD, b"x"), resp.parse, resp.ProtocolError),
+            (publish, frames.parse, frames.AmqpError),
+        ):
+            data = bytearray(data)
+            for _ in range(chance.randrange(1, 4)):
+                data[chance.randrange(len(data))] = chance.randrange(256)
+            view, contents = memoryview(data), frames.Contents(100)
+            try:
+                while len(view) and (found := parse(view)):
+                    if parse is resp.parse:
+                        resp.enqueue(found[0])
+                    else:
+                        contents.feed(found[1])
+                    view = view[found[-1] :]
+            except (expected, resp.CommandError):
+                pass
+
+
+def test_a_returned_end_and_its_body_are_assembled_from_split_frames():
+    method = commands.Basic.Return(312, "NO_ROUTE", "", "x")
+    data = frames.content(method, commands.Basic.Properties(message_id="m"), b"y" * 9000, 1, 4096)
+    view, contents, found = memoryview(data), frames.Contents(), None
+    while len(view):
+        _, what, size = frames.parse(view, 4096)
+        found = contents.feed(what)
+        view = view[size:]
+    assert found[0].reply_code == 312 and found[1].message_id == "m" and found[2] == b"y" * 9000
