Stamp log lines with the turn's clock and tell clients the front's capabilities

Cause: each log line read a clock of its own (log.py); client libraries look for publisher_confirms among the server's capabilities before they select confirms (front.py _greet).

--- a/pinspread/amqp/front.py
+++ b/pinspread/amqp/front.py
@@ -28,6 +28,8 @@
 GREET_S = 5.0
 CLOSE_S = 1.0
 MOST_UNSENT = 4 << 20  # bytes that a client may leave unread before its connection is ended
+# Clients look here for what goes beyond the specification before they use it.
+PROPERTIES = {"product": "pinspread", "capabilities": {"publisher_confirms": True, "basic.nack": True}}
 HEADERS = ("class", "tenant", "key", "dest", "idempotency-key")
 
 
@@ -284,9 +286,7 @@
                 if await wire.greeting() != frames.GREETING:
                     await self.connection.write(frames.GREETING)  # as the specification asks
                     return False
-                await wire.send(
-                    commands.Connection.Start(0, 9, {"product": "pinspread"}, "PLAIN ANONYMOUS", "en_US")
-                )
+                await wire.send(commands.Connection.Start(0, 9, PROPERTIES, "PLAIN ANONYMOUS", "en_US"))
                 await wire.method("Connection.StartOk")
                 await wire.send(
                     commands.Connection.Tune(CHANNEL_MAX, frames.FRAME_MAX, self.front.heartbeat_s)
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -11,7 +11,7 @@
 from pinspread.core.clock import Clock
 from pinspread.core.courier import Courier
 from pinspread.core.journal import Journal
-from pinspread.core.log import log
+from pinspread.core.log import log, use
 from pinspread.decide import Sender
 from pinspread.net import front, sockets
 from pinspread.net.discovery import Discovery
@@ -21,6 +21,7 @@
 async def serve(told: settings.Told, amqp: settings.AmqpFile, discover=None, login=GUEST):
     """Serve until SIGTERM or SIGINT; `discover(courier)` makes another discovery than the platform's."""
     clock = Clock()
+    use(clock)
     journal = Journal(told.state, told.disk_bytes)
     courier = Courier(Sender(told.module, told.seed), told, clock, journal)
     pool = Pool(clock, told.keepalive_us)
