--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -46,6 +46,7 @@
 LEAST_TIMEOUT_NS = SECOND  # no time-out under this: a jam must not turn into lost calls
 UNSAFE_STRETCH = 2.5  # longer time-outs of unsafe messages, which a time-out loses
 CROWDED_STRETCH = 1.5  # and where half the slots are taken: what hangs must not take them all
+MOST_TIMEOUT_NS = 3 * SECOND  # no time-out over this, unless an endpoint's mean latency is over half of it
 MOST_STRETCH = 2.0  # growth of time-outs while they strike: slow is followed, hung does not eat slots
 RESTS_KEPT = 256  # keys at rest that are kept before those rested are dropped
 FEW = 4  # senders that need not mind their sum; more share idle connections and looks at outages
@@ -748,6 +749,9 @@
             stretch = UNSAFE_STRETCH if roomy else CROWDED_STRETCH
         learned = 2 * (endpoint.mean_ns + TIMEOUT_SPREAD * endpoint.dev_ns) or message.rule.aim_ns
         wait = int(max(LEAST_TIMEOUT_NS, learned) * stretch * endpoint.stretch)
+        # Danger: a jam's latencies and time-outs lengthen each other's waits, until calls that hang for tens
+        # of seconds hold all slots. It could hurt where a partner suddenly takes longer than the cap.
+        wait = min(wait, max(MOST_TIMEOUT_NS, int(2 * endpoint.mean_ns)))
         return max(1, min(wait, message.deadline_ns - self.now))
 
     def ramp_next(self, endpoint, calls):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -718,6 +718,17 @@
 
 def test_unsafe_messages_are_waited_for_longer_while_slots_are_free():
     desk = Desk(endpoints=[(f"e{n}", n) for n in range(1, 9)])
+    for endpoint in desk.sender.endpoints.values():
+        endpoint.mean_ns = 100.0 * MS
     waits = [a.timeout_ns for n in range(1, 9) for a in desk.take(cls=UNSAFE, destination=n)]
     roomy, crowded = waits[0], waits[-1]
     assert len(waits) == 8 and roomy / crowded == pytest.approx(2.5 / 1.5, rel=0.01)
+
+
+@pytest.mark.parametrize(("mean_s", "most_s"), [(0.2, 3), (1.4, 3), (4, 8)])
+def test_time_outs_of_a_jam_do_not_grow_without_end(mean_s, most_s):
+    desk = Desk()
+    endpoint = desk.sender.endpoints["a"]
+    endpoint.mean_ns, endpoint.dev_ns, endpoint.stretch = mean_s * SECOND, 5.0 * SECOND, 2.0
+    (send,) = desk.take(cls=UNSAFE)
+    assert send.timeout_ns == most_s * SECOND
