Close idle connections to next hops that go; a lost broker is no blocked one

Causes: connections to a drained or removed next hop stayed open until they aged (courier.py learn); a branch that ran out of time while a broker was dialled again was reported as blocked, a told wait for all its messages (broker.py send).

--- a/pinspread/amqp/broker.py
+++ b/pinspread/amqp/broker.py
@@ -40,7 +40,8 @@
                 return await link.publish(branch, waiter)
             if waiter.written:
                 return Outcome(Verdict.TIMEOUT)
-            if not waiter.tried and branch.next_hop.id in self.links:
+            link = self.links.get(branch.next_hop.id)
+            if not waiter.tried and link is not None and not link.lost:
                 return Outcome(Verdict.FULL, BLOCKED_WAIT_US, note="the broker blocks publishers")
             return Outcome(Verdict.CONNECT_FAILED, note="not written in time")
         except (OSError, TimeoutError, frames.AmqpError) as error:
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -107,6 +107,9 @@
             self.next_hops[hop.id] = hop
             hop.usable = state is api.ListState.READY
             entries.append(api.ListEntry(hop.id, hop.dest, hop.zone, hop.kind, state, hop.weight))
+        for hop in self.next_hops.values():
+            if not hop.usable and hop.scheme in self.transports:
+                self.transports[hop.scheme].disconnect(hop)  # its idle connections serve nobody any more
         self.post(api.ListChanged(scope, entries))
 
     def post(self, event):
--- a/pinspread/core/ports.py
+++ b/pinspread/core/ports.py
@@ -18,6 +18,19 @@
         """Close idle connections to it."""
 
 
+class Discovery(Protocol):
+    """Tells the core of next hops, by its `learn`."""
+
+    def start(self) -> None:
+        """Tell what is known without asking."""
+
+    def ask(self) -> None:
+        """The module wants the list's changes; one `learn` answers."""
+
+    async def run(self) -> None:
+        """Follow the changes until cancelled."""
+
+
 class Front(Protocol):
     """Takes transactions and tells their callers how they ended."""
 
--- a/tests/test_amqp_broker.py
+++ b/tests/test_amqp_broker.py
@@ -46,6 +46,26 @@
         assert len(seen) > 1 if tries is None else len(seen) == tries
 
 
+async def test_a_broker_that_stays_blocked_counts_as_a_told_wait_and_one_that_is_gone_does_not(tmp_path):
+    broker = Broker()
+    async with courier(tmp_path) as rig:
+        async with standing(broker) as address:
+            rig.learn(address, "b", 1, "amqp")
+            client = Client(rig.address)
+            await client.enqueue(id_="p1")
+            await until(lambda: broker.effects == ["p1"])
+            await broker.say(commands.Connection.Blocked("disk"))
+            await client.enqueue(id_="p2", for_ms=500)
+            await until(lambda: not rig.courier.branches and not rig.courier.open)
+            assert rig.courier.told_us[1] > rig.courier.clock.now() and broker.effects == ["p1"]
+            rig.courier.told_us.clear()
+            broker.kill()
+        await anyio.sleep(1.1)
+        await client.enqueue(id_="p3", for_ms=500)
+        await until(lambda: not rig.courier.open)
+        assert not rig.courier.told_us
+
+
 async def test_a_payment_cut_short_before_its_last_byte_never_ran_and_goes_again(tmp_path):
     broker = Broker()
     async with standing(broker) as address, courier(tmp_path, hops=[(address, "b", 1, "amqp")]) as rig:
--- a/tests/test_amqp_front.py
+++ b/tests/test_amqp_front.py
@@ -128,6 +128,13 @@
         assert (await client.next())[0].reply_code == frames.PRECONDITION_FAILED
 
 
+async def test_a_client_hears_that_the_process_ends(tmp_path):
+    async with courier(tmp_path) as rig:
+        client = await AmqpClient.open(rig.amqp)
+        await rig.courier.fronts["amqp"].close()
+        assert (await client.next())[0].reply_code == frames.CONNECTION_FORCED
+
+
 async def test_another_protocol_hears_the_greeting(tmp_path):
     async with courier(tmp_path) as rig:
         host, port = rig.amqp.split(":")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,7 +11,7 @@
 import pytest
 from standins import Client, HttpStandIn, configuration, courier, host, listener, standing, until
 
-from pinspread.interface import ListState
+from pinspread.interface import ListScope, ListState
 
 pytestmark = pytest.mark.anyio
 OK = (200, [], b"")
@@ -233,6 +233,19 @@
         assert len(hop.requests) == hop.connections == 2
 
 
+@pytest.mark.parametrize("how", ["drains", "left out"])
+async def test_idle_connections_to_a_next_hop_that_goes_are_closed(tmp_path, how):
+    hop = HttpStandIn()
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        await Client(rig.address).enqueue()
+        await until(lambda: not rig.courier.ids and hop.open)
+        if how == "drains":
+            rig.learn(address, state=ListState.DRAINING)
+        else:
+            rig.courier.learn(ListScope.FULL, [])
+        await until(lambda: not hop.open, 1.0)
+
+
 async def test_idle_connections_are_closed_before_the_next_hop_would(tmp_path):
     hop = HttpStandIn()
     async with standing(hop) as address:
