Give each run of the tests addresses of its own

Cause: a port that a test had freed for a process of its own was taken by another socket in one of twelve runs side by side (tests: listener, then close). Ruled out: the courier itself, which answered on the right port in all runs.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -1,8 +1,10 @@
 """Stand-ins on loopback for the parties of a courier, written from their public specifications."""
 
+import os
 import socket
 import time
 from contextlib import asynccontextmanager
+from itertools import count
 
 import anyio
 import h11
@@ -32,6 +34,15 @@
     return sock, f"127.0.0.1:{sock.getsockname()[1]}"
 
 
+_ports = count(20_000 + os.getpid() % 750 * 16)  # under those that outgoing connections take
+
+
+def own_address():
+    """An address for a process to listen on, which no other run of the tests shares."""
+    pid = os.getpid()
+    return f"127.9.{pid // 250 % 250}.{1 + pid % 250}:{next(_ports)}"
+
+
 def configuration(state, **limits):
     """A courier's configuration, as the platform writes it."""
     lane = {"aimNs": 3 * SECOND, "deadlineNs": 24 * SECOND, "group": "all", "lateShare": 0.5, "value": 1.0}
--- a/tests/test_amqp_broker.py
+++ b/tests/test_amqp_broker.py
@@ -9,7 +9,7 @@
 import anyio
 import pytest
 from pamqp import commands
-from standins import AmqpClient, Broker, Client, HttpStandIn, courier, listener, standing, until
+from standins import AmqpClient, Broker, Client, HttpStandIn, courier, own_address, standing, until
 
 from pinspread.config import application
 
@@ -185,8 +185,7 @@
     """A courier of its own process, off the platform, whose only partner is a broker."""
 
     def __init__(self, folder, broker, notices):
-        sock, self.address = listener()
-        sock.close()
+        self.address = own_address()
         text = application.template("pay").replace("127.0.0.1:8500", notices)
         text = text.replace('amqp = "127.0.0.1:5672"', "").replace("127.0.0.1:6379", self.address)
         text = text.replace('"state"', f'"{folder}/state"').replace("partners.zone", f"{folder}/zone")
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -6,21 +6,15 @@
 from pathlib import Path
 
 import pytest
-from standins import listener
+from standins import own_address
 
 from pinspread.config import application
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
 
 
-def free_port():
-    sock, address = listener()
-    sock.close()
-    return address.split(":")[1]
-
-
 def test_the_example_courier_delivers_to_the_toy_partner(tmp_path):
-    ports = {old: free_port() for old in ("6379", "5672", "8500", "8080")}
+    ports = {old: own_address().split(":")[1] for old in ("6379", "5672", "8500", "8080")}
     for name in ("booking.toml", "partners.zone"):
         text = (EXAMPLES / name).read_text().replace("examples/", f"{tmp_path}/")
         for old, new in ports.items():
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,7 +9,7 @@
 import anyio
 import orjson
 import pytest
-from standins import Client, HttpStandIn, configuration, courier, host, listener, standing, until
+from standins import Client, HttpStandIn, configuration, courier, host, listener, own_address, standing, until
 
 from pinspread.interface import ListScope, ListState
 
@@ -290,8 +290,7 @@
     """A courier as the platform starts it."""
 
     def __init__(self, folder, hop, discovery):
-        sock, self.address = listener()
-        sock.close()
+        self.address = own_address()
         (folder / "state").mkdir(exist_ok=True)
         told = configuration(folder / "state")
         told |= {"listen": self.address, "discovery": discovery}
