Move the watch and the notices on SIGHUP instead of dying of it

Faulty: net/platform.py received SIGTERM and SIGINT only; settings.read let RELAY_DISCOVERY of the environment win over the file.

Now SIGHUP reads the configuration again; a new watch takes the old one's place once it is answered, and unanswered notices are posted to the new address. A file that cannot be used is logged and changes nothing. With an application's file, its records and notices are read again. SIGHUP counts while the process drains too.

--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -1,6 +1,7 @@
 """The command line: serve, version, and the configuration tool; bare, it serves."""
 
 import argparse
+import signal
 import sys
 from pathlib import Path
 
@@ -46,7 +47,8 @@
         else:
             from pinspread.net import platform
 
-            anyio.run(platform.serve, settings.from_environment(), settings.amqp_file())
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a configuration to read again
+            anyio.run(platform.serve, settings.from_environment(), settings.amqp_file(), reread)
     except settings.SettingsError as error:
         print(error, file=sys.stderr)
         return 2
@@ -56,6 +58,12 @@
     return 0
 
 
+def reread():
+    """Where the configuration file has discovery, which hears notices too, by now."""
+    address = settings.from_environment().discovery
+    return address, address
+
+
 def config(chosen):
     """The configuration tool; what only it needs is loaded only here."""
     from pinspread.config import application, dnssd
@@ -105,7 +113,12 @@
         wanted = file.discovery
         return dnssd.DnsSd(courier, records(file), wanted.services, wanted.refresh_s)
 
-    anyio.run(platform.serve, application.told(file), amqp, discover, file.brokers.login())
+    def again():
+        file = application.load(path)
+        return records(file), file.notices.address
+
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    anyio.run(platform.serve, application.told(file), amqp, again, discover, file.brokers.login())
 
 
 if __name__ == "__main__":
--- a/pinspread/config/dnssd.py
+++ b/pinspread/config/dnssd.py
@@ -127,6 +127,10 @@
         """The module asks for the list's changes: they come with the next refresh."""
         self.courier.learn(ListScope.DELTA, [])
 
+    def move(self, records):
+        """The records are to be had elsewhere from now on."""
+        self.records = records
+
     async def run(self):
         """Refresh until cancelled; while the records cannot be had, the list stays as it was."""
         while True:
--- a/pinspread/config/settings.py
+++ b/pinspread/config/settings.py
@@ -88,7 +88,7 @@
 
 
 def from_environment(env=os.environ) -> Told:
-    """The configuration file, with the environment's word where both speak."""
+    """The configuration file, with the environment's word where both speak (but for discovery)."""
     path = env.get("RELAY_CONFIG")
     if not path:
         raise SettingsError("RELAY_CONFIG names no configuration file")
@@ -110,7 +110,8 @@
         return Told(
             name=env.get("RELAY_NAME") or told["name"],
             listen=env.get("RELAY_LISTEN") or told["listen"],
-            discovery=env.get("RELAY_DISCOVERY") or told["discovery"],
+            # Danger: the file is replaced while the process runs, and its environment still has the old word.
+            discovery=told.get("discovery") or env["RELAY_DISCOVERY"],
             state=env.get("RELAY_STATE") or told["state"],
             seed=int(str(told["seed"]), 16),
             disk_bytes=int(told["limits"]["disk_mb"] * 1_000_000),
--- a/pinspread/core/ports.py
+++ b/pinspread/core/ports.py
@@ -27,6 +27,9 @@
     def ask(self) -> None:
         """The module wants the list's changes; one `learn` answers."""
 
+    def move(self, where) -> None:
+        """Discovery is elsewhere from now on."""
+
     async def run(self) -> None:
         """Follow the changes until cancelled."""
 
--- a/pinspread/net/discovery.py
+++ b/pinspread/net/discovery.py
@@ -23,6 +23,8 @@
         self.courier = courier
         self.told = told
         self.seq = 0
+        self.tasks = None
+        self.current = None  # the scope of the task whose watch is followed
 
     def start(self):
         """The list as the courier had it last, from its configuration."""
@@ -32,25 +34,48 @@
         """The module asks for the list's changes: the watch brings them anyhow."""
         self.courier.learn(ListScope.DELTA, [])
 
+    def move(self, address):
+        """Discovery is at another address from now on; the old watch goes on until the new one is up."""
+        if address != self.address:
+            self.address = address
+            self.seq = 0  # the whole list: the versions there may be others
+            if self.tasks:
+                self.tasks.start_soon(self._follow, address)
+
     async def run(self):
         """Watch until cancelled."""
-        while True:
-            try:
-                await self._watch()
-            except (OSError, ValueError, TimeoutError) as error:
-                log("watch_broke", error=str(error) or type(error).__name__)
-            await anyio.sleep(AGAIN_S)
+        async with anyio.create_task_group() as self.tasks:
+            self.tasks.start_soon(self._follow, self.address)
+
+    async def _follow(self, address):
+        with anyio.CancelScope() as scope:
+            while address == self.address or self.current is scope:
+                try:
+                    await self._watch(address, scope)
+                except (OSError, ValueError, TimeoutError) as error:
+                    log("watch_broke", address=address, error=str(error) or type(error).__name__)
+                await anyio.sleep(AGAIN_S)
+
+    def _up(self, scope):
+        """Its watch has been answered: it takes the place of the one before."""
+        # Danger: closed before the new one is up, the old watch would leave drains untold meanwhile.
+        if self.current is not scope:
+            if self.current:
+                self.current.cancel()
+            self.current = scope
 
-    async def _watch(self):
+    async def _watch(self, address, scope):
         with anyio.fail_after(SILENT_S):
-            connection = await dial(self.address)
+            connection = await dial(address)
         try:
             exchange = Exchange(connection)
             with anyio.fail_after(SILENT_S):
-                await exchange.request("GET", f"/api/targets?watch=1&from={self.seq}", self.address)
+                await exchange.request("GET", f"/api/targets?watch=1&from={self.seq}", address)
                 status, _ = await exchange.response()
             if status != 200:
                 raise ValueError(f"discovery answered {status}")
+            if address == self.address:
+                self._up(scope)
             held = b""
             while True:
                 with anyio.fail_after(SILENT_S):
@@ -62,11 +87,11 @@
                     raise ValueError("a line without an end")
                 for line in lines:
                     if line.strip():
-                        self._learn(orjson.loads(line))
+                        self._learn(orjson.loads(line), moved=address != self.address)
         finally:
             connection.close()
 
-    def _learn(self, news, scope=None):
+    def _learn(self, news, scope=None, moved=False):
         hops = []
         if not isinstance(news, dict) or not isinstance(news.get("hosts"), list) or "seq" not in news:
             raise ValueError(f"not a list of endpoints: {str(news)[:100]}")
@@ -83,7 +108,8 @@
                 hops.append((hop, STATES[host["health"]]))
             except (KeyError, TypeError, ValueError) as error:
                 log("malformed_host", host=host, error=repr(error))
-        self.seq = news["seq"]
+        if not moved:
+            self.seq = news["seq"]
         scope = scope or (ListScope.FULL if news.get("whole") else ListScope.DELTA)
         self.courier.learn(scope, hops)
         if hops or scope is not ListScope.DELTA:
--- a/pinspread/net/front.py
+++ b/pinspread/net/front.py
@@ -123,6 +123,11 @@
         self.waiting = []  # (line, event)
         self.wake = anyio.Event()
         self.connection = None
+        self.connected_to = ""
+
+    def move(self, address):
+        """From now on the platform hears notices there; those that are not answered yet go there too."""
+        self.address = address
 
     async def tell(self, line: bytes):
         """Returns when this line has been answered."""
@@ -160,15 +165,17 @@
 
     async def _post(self, body):
         """The status of the answer; 0 if none came."""
-        reused = self.connection is not None and self.connection.quiet()
+        address = self.address
+        reused = self.connection is not None and self.connected_to == address and self.connection.quiet()
         try:
             with anyio.fail_after(NOTICE_S):
                 if not reused:
                     self._drop()
-                    self.connection = await dial(self.address)
+                    self.connection = await dial(address)
+                    self.connected_to = address
                 exchange = Exchange(self.connection)
                 await exchange.request(
-                    "POST", "/v2/finals", self.address, [("Content-Type", "application/x-ndjson")], body
+                    "POST", "/v2/finals", address, [("Content-Type", "application/x-ndjson")], body
                 )
                 status, _ = await exchange.response()
                 await exchange.finish()
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -18,8 +18,11 @@
 from pinspread.net.http import HttpTransport, Pool
 
 
-async def serve(told: settings.Told, amqp: settings.AmqpFile, discover=None, login=GUEST):
-    """Serve until SIGTERM or SIGINT; `discover(courier)` makes another discovery than the platform's."""
+async def serve(told: settings.Told, amqp: settings.AmqpFile, reread, discover=None, login=GUEST):
+    """Serve until SIGTERM or SIGINT; on SIGHUP, `reread()` tells where discovery and notices are from now on.
+
+    `discover(courier)` makes another discovery than the platform's.
+    """
     clock = Clock()
     use(clock)
     journal = Journal(told.state, told.disk_bytes)
@@ -40,7 +43,9 @@
         for one, address in ((first, told.listen), (second, amqp.listen))
         if address
     ]
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    # Danger: a signal without a receiver ends the process and all that it serves.
+    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with anyio.open_signal_receiver(*wanted) as signals:
         async with anyio.create_task_group() as tasks:
             courier.transports["amqp"] = BrokerTransport(clock, tasks, told.dial_us, login)
             for run in (courier.run, notices.run, discovery.run, pool.run):
@@ -48,9 +53,31 @@
             for one, sock in listeners:
                 tasks.start_soon(one.run, sock)
             log("serving", name=told.name, listen=told.listen, amqp=amqp.listen)
-            async for _ in signals:
-                break
+            async for signum in signals:
+                if signum != signal.SIGHUP:
+                    break
+                _move(reread, discovery, notices)
+            # A new configuration counts to the end: the notices of a courier that stops are still owed.
+            tasks.start_soon(_follow_moves, signals, reread, discovery, notices)
             await courier.stop()
             await second.close()
             tasks.cancel_scope.cancel()
     log("stopped")
+
+
+async def _follow_moves(signals, reread, discovery, notices):
+    async for signum in signals:
+        if signum == signal.SIGHUP:
+            _move(reread, discovery, notices)
+
+
+def _move(reread, discovery, notices):
+    """The configuration was replaced: discovery and notices go where it says now."""
+    try:
+        where, told = reread()
+    except settings.SettingsError as error:
+        log("configuration_unusable", error=str(error))  # all stays as it was
+        return
+    discovery.move(where)
+    notices.move(told)
+    log("configuration", notices=told)
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,5 +1,6 @@
 """The example folder works as the README says, on other ports."""
 
+import signal
 import subprocess
 import sys
 import time
@@ -35,6 +36,10 @@
             time.sleep(0.05)
         assert said.stdout == "+OK\n"
         assert "b'hello'" in running[0].stdout.readline()
+        running[1].send_signal(signal.SIGHUP)  # its file is read again
+        assert subprocess.run(hand_in, capture_output=True, text=True).stdout == "+OK\n"
+        time.sleep(0.2)
+        assert running[1].poll() is None
     finally:
         for process in running:
             process.kill()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
 from standins import Client, HttpStandIn, configuration, courier, host, listener, own_address, standing, until
 
 from pinspread.interface import ListScope, ListState
+from pinspread.net.discovery import Discovery
 
 pytestmark = pytest.mark.anyio
 OK = (200, [], b"")
@@ -271,8 +272,6 @@
 
 
 async def test_the_watch_follows_changes_and_survives_nonsense(tmp_path):
-    from pinspread.net.discovery import Discovery
-
     lists = [b"nonsense\n", b"[]\n", b'{"seq":5,"whole":true,"hosts":[{"host":1}]}\n']
     whole = {"seq": 7, "whole": True, "hosts": [host("s-1", "127.0.0.1:9"), host("s-2", "127.0.0.1:9")]}
     change = {"seq": 8, "whole": False, "hosts": [host("s-1", "127.0.0.1:9", health="draining")]}
@@ -292,16 +291,20 @@
     def __init__(self, folder, hop, discovery):
         self.address = own_address()
         (folder / "state").mkdir(exist_ok=True)
-        told = configuration(folder / "state")
-        told |= {"listen": self.address, "discovery": discovery}
-        told["known"]["hosts"] = [host("s-1", hop)]
-        (folder / "config.json").write_bytes(orjson.dumps(told))
-        env = os.environ | {"RELAY_CONFIG": str(folder / "config.json")}
+        self.file = folder / "config.json"
+        self.told = configuration(folder / "state")
+        self.told["known"]["hosts"] = [host("s-1", hop)]
+        self.configure(listen=self.address, discovery=discovery)
+        env = os.environ | {"RELAY_CONFIG": str(self.file), "RELAY_DISCOVERY": discovery}
         self.process = subprocess.Popen(
             [sys.executable, "-m", "pinspread"], env=env, stdout=subprocess.DEVNULL
         )
         self.client = Client(self.address)
 
+    def configure(self, **told):
+        self.told |= told
+        self.file.write_bytes(orjson.dumps(self.told))
+
     async def ready(self):
         with anyio.fail_after(10):
             while True:
@@ -354,6 +357,61 @@
         assert code == 0 and seconds < 3.7
 
 
+async def test_sighup_moves_watch_and_notices_and_an_unreadable_file_changes_nothing(tmp_path):
+    watches = [None, None]  # what the watches of the two discoveries have told
+
+    def discovery(n):
+        def answer(request):
+            if request[2] == "/v2/finals":
+                return HEARD
+            watches[n] = request[2]
+            news = {"seq": 9, "whole": True, "hosts": [host("s-1", hops[n])]}
+            return late(0, (200, [], orjson.dumps(news) + b"\n"))
+
+        return HttpStandIn(answer)
+
+    refuses = [HttpStandIn(lambda request: (500, [], b"")) for _ in range(2)]
+    old, new = discovery(0), discovery(1)
+    async with standing(refuses[0]) as first, standing(refuses[1]) as second:
+        hops = [first, second]
+        async with standing(old) as before, standing(new) as after:
+            process = await Process(tmp_path, first, before).ready()
+            await until(lambda: watches[0])
+            process.file.write_bytes(b"{")
+            process.process.send_signal(signal.SIGHUP)
+            await process.client.enqueue(id_="one")
+            await until(lambda: old.lines == [{"id": "one", "state": "failed"}])
+            process.configure(discovery=after)
+            process.process.send_signal(signal.SIGHUP)
+            await until(lambda: watches[1] == "/api/targets?watch=1&from=0")
+            await anyio.sleep(0.1)
+            asked = len(old.requests)
+            await process.client.enqueue(id_="two")
+            await until(lambda: [line for line in new.lines if line["id"] == "two"])
+            assert refuses[1].requests and len(old.requests) == asked
+            code, _ = await process.end(signal.SIGTERM)
+            assert code == 0
+
+
+async def test_a_watch_that_moves_keeps_the_old_one_until_the_new_one_is_up(tmp_path):
+    news = orjson.dumps({"seq": 5, "whole": True, "hosts": [host("s-1", "127.0.0.1:9")]}) + b"\n"
+    stays = HttpStandIn(lambda request: (200, [], news))
+    async with standing(stays) as address, courier(tmp_path) as rig:
+        watch = Discovery(address, rig.courier, rig.courier.settings)
+        rig.tasks.start_soon(watch.run)
+        await until(lambda: "s-1" in rig.courier.next_hops)
+        watch.move("127.0.0.1:1")  # nobody is there
+        before = len(stays.requests)
+        await until(lambda: len(stays.requests) > before + 1)
+        moved = HttpStandIn(lambda request: (200, [], news.replace(b"s-1", b"s-2")))
+        async with standing(moved) as there:
+            watch.move(there)
+            await until(lambda: "s-2" in rig.courier.next_hops)
+            before = len(stays.requests)
+            await anyio.sleep(0.5)
+            assert len(stays.requests) == before
+
+
 def test_a_log_that_nobody_reads_does_not_stall_the_courier():
     code = "from pinspread.core.log import log\nfor n in range(3000): log('e', n=n, text='x' * 100)"
     process = subprocess.Popen([sys.executable, "-c", code], stdout=subprocess.PIPE)
