Count a first line with 200 as delivered and prove nothing by any other spoilt answer

By reading: a 429/503/504 whose body was cut or too long passed as never ran (the `except` around finish), trailing_data was never looked at, bodies had no bound, and a read that finds data never yields.

Faulty: net/http.py `_call`, `probe`, `Exchange.reusable`; net/sockets.py `read`, `read_into`.

Now the first line decides on 200; all else must be read whole, within 128 KiB, or it is an ERROR that may have run. A wait told in a head binds at once. What comes behind an answer closes the connection.

--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -115,7 +115,7 @@
 
     def again():
         file = application.load(path)
-        return records(file), file.notices.address
+        return records(file), file.notices.address if file.notices else ""
 
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     anyio.run(platform.serve, application.told(file), amqp, again, discover, file.brokers.login())
--- a/pinspread/config/settings.py
+++ b/pinspread/config/settings.py
@@ -111,7 +111,7 @@
             name=env.get("RELAY_NAME") or told["name"],
             listen=env.get("RELAY_LISTEN") or told["listen"],
             # Danger: the file is replaced while the process runs, and its environment still has the old word.
-            discovery=told.get("discovery") or env["RELAY_DISCOVERY"],
+            discovery=told["discovery"] if "discovery" in told else env["RELAY_DISCOVERY"],
             state=env.get("RELAY_STATE") or told["state"],
             seed=int(str(told["seed"]), 16),
             disk_bytes=int(told["limits"]["disk_mb"] * 1_000_000),
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -174,6 +174,7 @@
         hop = self.next_hops[action.endpoint]
         branch = Branch(transaction, transaction.branches, hop, now_us, action.timeout_ns // 1000)
         branch.clear = lambda: self._clear(branch)
+        branch.heed = lambda wait_us: self._heed(hop, wait_us, self.clock.now())
         transaction.branches += 1
         self.branches[transaction.number, branch.number] = branch
         self.tasks.start_soon(self._run_branch, branch)
@@ -228,7 +229,7 @@
     def _branch_ended(self, branch, outcome: Outcome):
         transaction, now_us = branch.transaction, self.clock.now()
         del self.branches[transaction.number, branch.number]
-        self._heed(branch.next_hop, outcome, now_us)
+        self._heed(branch.next_hop, outcome.wait_us, now_us)
         was_open = transaction.number in self.open
         log(
             "branch",
@@ -261,10 +262,10 @@
             )
         )
 
-    def _heed(self, hop, outcome, now_us):
-        if outcome.wait_us:
+    def _heed(self, hop, wait_us, now_us):
+        if wait_us:
             line = self._line(hop)
-            self.told_us[line] = max(self.told_us.get(line, 0), now_us + outcome.wait_us)
+            self.told_us[line] = max(self.told_us.get(line, 0), now_us + wait_us)
 
     def _line(self, hop):
         """What a told wait binds: a partner, or the one next hop where its routes are apart."""
@@ -277,7 +278,7 @@
         if limit.cancelled_caught:
             outcome = Outcome(api.Verdict.TIMEOUT)
         now_us = self.clock.now()
-        self._heed(hop, outcome, now_us)
+        self._heed(hop, outcome.wait_us, now_us)
         log("probe", hop=hop.id, verdict=outcome.verdict.name, note=outcome.note)
         self.post(api.ProbeEnded(hop.id, outcome.verdict, (now_us - started_us) * 1000))
 
--- a/pinspread/core/transactions.py
+++ b/pinspread/core/transactions.py
@@ -81,7 +81,7 @@
     started_us: int
     timeout_us: int
     clear: object = None  # () -> str: empty, or why nothing may be written any more
-    key: int = 0
+    heed: object = None  # (wait_us): a wait was told, whatever else becomes of the branch
 
     def ends_us(self):
         """When the courier stops waiting."""
--- a/pinspread/net/discovery.py
+++ b/pinspread/net/discovery.py
@@ -68,7 +68,7 @@
         with anyio.fail_after(SILENT_S):
             connection = await dial(address)
         try:
-            exchange = Exchange(connection)
+            exchange = Exchange(connection, most=None)
             with anyio.fail_after(SILENT_S):
                 await exchange.request("GET", f"/api/targets?watch=1&from={self.seq}", address)
                 status, _ = await exchange.response()
--- a/pinspread/net/http.py
+++ b/pinspread/net/http.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 to next hops: one call a connection at a time, a pool, and never a second try by itself."""
 
+import re
+
 import anyio
 import h11
 
@@ -13,15 +15,48 @@
 )
 SWEEP_S = 0.5
 SLOT_S = 0.05
+REST_S = 0.05  # how long the rest of a 200 may take; without it the connection is closed
+MOST_HEAD = 16 * 1024
+MOST_ANSWER = 128 * 1024  # bytes of an answer that are read at all
+FIRST_LINE = re.compile(rb"HTTP/1\.[0-9] ([1-9][0-9]{2})(?: [^\r\n]*)?\r?")
+
+
+class SpoiltError(ValueError):
+    """What came is no answer that can be read, or goes on for ever."""
+
+
+def first_line(seen) -> int | None:
+    """The status that the first line says, past any 1xx answers; None if it is not whole yet."""
+    at = 0
+    while True:
+        end = seen.find(b"\n", at)
+        if end < 0:
+            if len(seen) - at > MOST_HEAD:
+                raise SpoiltError("a first line without an end")
+            return None
+        found = FIRST_LINE.fullmatch(seen, at, end)
+        if not found:
+            raise SpoiltError(f"not a first line: {bytes(seen[at : min(end, at + 40)])!r}")
+        if int(found[1]) >= 200:
+            return int(found[1])
+        end = seen.find(b"\r\n\r\n", at)
+        if end < 0:
+            if len(seen) - at > MOST_HEAD:
+                raise SpoiltError("a 1xx answer without an end")
+            return None
+        at = end + 4
 
 
 class Exchange:
-    """One request and its response on a connection."""
+    """One request and its response on a connection; `most` bounds what is read of the response."""
 
-    def __init__(self, connection):
+    def __init__(self, connection, most=MOST_ANSWER):
         self.connection = connection
-        self.h11 = h11.Connection(h11.CLIENT)
+        self.h11 = h11.Connection(h11.CLIENT, MOST_HEAD)
         self.ended = False
+        self.left = most
+        self.seen = bytearray()  # until the first line has been found
+        self.found = None
 
     @staticmethod
     def encode(wire, method, target, host, headers, body):
@@ -38,15 +73,34 @@
         """Write a request."""
         await self.connection.write(self.encode(self.h11, method, target, host, headers, body))
 
+    async def _read(self):
+        data = await self.connection.read()
+        if not data:
+            raise ConnectionResetError("closed before the answer's end")
+        if self.left is not None:
+            # Danger: an answer that keeps coming would take the core and the memory of all others.
+            self.left -= len(data)
+            if self.left < 0:
+                raise SpoiltError("an answer without an end")
+        self.h11.receive_data(data)
+        return data
+
     async def _event(self):
         while True:
             try:
                 event = self.h11.next_event()
             except h11.RemoteProtocolError as error:
-                raise ValueError(str(error)) from None
+                raise SpoiltError(str(error)) from None
             if event is not h11.NEED_DATA:
                 return event
-            self.h11.receive_data(await self.connection.read())
+            await self._read()
+
+    async def status(self):
+        """What the first line says; that much stands whatever comes behind it."""
+        while self.found is None:
+            self.seen += await self._read()
+            self.found = first_line(self.seen)
+        return self.found
 
     async def response(self):
         """Status and headers of the answer; OSError or ValueError if none comes."""
@@ -55,7 +109,7 @@
             if type(event) is h11.Response:
                 return event.status_code, {bytes(k).lower(): bytes(v) for k, v in event.headers}
             if type(event) is not h11.InformationalResponse:
-                raise ValueError(f"no response but {type(event).__name__}")
+                raise SpoiltError(f"no response but {type(event).__name__}")
 
     async def data(self):
         """The next piece of the body; None at its end."""
@@ -70,10 +124,17 @@
         while await self.data() is not None:
             pass
 
+    @property
+    def more(self):
+        """What came behind the answer."""
+        return self.h11.trailing_data[0]
+
     @property
     def reusable(self):
         """Whether another request may follow on this connection."""
-        return self.ended and self.h11.their_state is h11.DONE and self.h11.our_state is h11.DONE
+        # Danger: what came behind this answer, or the rest of it, would answer the next call.
+        whole = self.ended and self.h11.their_state is h11.DONE and self.h11.our_state is h11.DONE
+        return whole and not self.more
 
 
 class Pool:
@@ -140,11 +201,15 @@
             with anyio.move_on_after(self._seconds_to(branch.ends_us())):
                 return await self._call(branch, state)
             if state.written:
-                return Outcome(Verdict.TIMEOUT)
+                return Outcome(Verdict.TIMEOUT, state.wait_us)
             return Outcome(Verdict.CONNECT_FAILED, note="not written in time")
         except (OSError, ValueError) as error:
-            verdict = Verdict.RESET if state.written else Verdict.CONNECT_FAILED
-            return Outcome(verdict, note=str(error))
+            if not state.written:
+                return Outcome(Verdict.CONNECT_FAILED, note=str(error))
+            # Danger: whatever its first line says but 200, an answer that is spoilt proves nothing. The call
+            # may have run, and a payment that went again would take effect twice. A wait that it told binds.
+            verdict = Verdict.ERROR if isinstance(error, ValueError) else Verdict.RESET
+            return Outcome(verdict, state.wait_us, note=f"spoilt: {error}"[:100])
         finally:
             if state.connection is not None:
                 state.connection.close()
@@ -179,22 +244,42 @@
         exchange = Exchange(state.connection)
         await exchange.request("POST", "/events", hop.address, headers, transaction.body)
         state.written = True
+        if await exchange.status() == 200:
+            await self._rest(exchange, hop, state)
+            return Outcome(Verdict.OK)
         status, answer = await exchange.response()
         outcome = _outcome(status, answer)
-        state.answered = True
-        try:
-            await exchange.finish()
-        except (OSError, ValueError):
-            return outcome  # the first line decides
-        if exchange.reusable:
-            self.pool.keep(hop, state.connection)
-            state.connection = None
+        if outcome.wait_us:
+            state.wait_us = outcome.wait_us
+            branch.heed(outcome.wait_us)  # binds from now on, though the body may take its time
+        await exchange.finish()
+        more = bytes(exchange.more)
+        if more and not more.startswith(b"HTTP/1.1 %d" % status):
+            raise SpoiltError("its length does not fit")  # or noise, which cannot be told from it
+        self._keep(exchange, hop, state)
         if outcome.verdict is Verdict.MOOT and not outcome.over:
             # Danger: a call that was given up holds its slot there until its end is seen; tried again at
             # once, one message would spend all its attempts on the slot of another.
             await anyio.sleep(SLOT_S)
         return outcome
 
+    async def _rest(self, exchange, hop, state):
+        """Behind a first line with 200 nothing counts any more, but for the connection."""
+        # Danger: a head or body that never ends would turn a delivery into a time-out, and a payment that
+        # was made into a failed one.
+        with anyio.move_on_after(REST_S):
+            try:
+                await exchange.response()
+                await exchange.finish()
+            except (OSError, ValueError):
+                return
+            self._keep(exchange, hop, state)
+
+    def _keep(self, exchange, hop, state):
+        if exchange.reusable:
+            self.pool.keep(hop, state.connection)
+            state.connection = None
+
     async def probe(self, hop: NextHop, clear) -> Outcome:
         """`GET /-/healthy`."""
         state = _Call()
@@ -205,13 +290,18 @@
                 return Outcome(Verdict.MOOT, note=why)
             exchange = Exchange(state.connection)
             await exchange.request("GET", "/-/healthy", hop.address)
+            if await exchange.status() == 200:
+                await self._rest(exchange, hop, state)
+                return Outcome(Verdict.OK)
             status, answer = await exchange.response()
-            await exchange.finish()
-            if exchange.reusable:
-                self.pool.keep(hop, state.connection)
-                state.connection = None
-            return _outcome(status, answer)
-        except (OSError, ValueError, TimeoutError) as error:
+            outcome = _outcome(status, answer)
+            with anyio.move_on_after(REST_S):
+                await exchange.finish()
+                self._keep(exchange, hop, state)
+            return outcome
+        except ValueError as error:
+            return Outcome(Verdict.ERROR, note=f"spoilt: {error}"[:100])
+        except (OSError, TimeoutError) as error:
             return Outcome(Verdict.CONNECT_FAILED, note=str(error))
         finally:
             if state.connection is not None:
@@ -223,12 +313,12 @@
 
 
 class _Call:
-    __slots__ = ("answered", "connection", "written")
+    __slots__ = ("connection", "wait_us", "written")
 
     def __init__(self):
         self.connection = None
         self.written = False  # its last byte
-        self.answered = False
+        self.wait_us = 0  # told in a head, whatever became of the rest
 
 
 def _outcome(status, headers) -> Outcome:
--- a/pinspread/net/sockets.py
+++ b/pinspread/net/sockets.py
@@ -4,6 +4,7 @@
 import socket
 
 import anyio
+import anyio.lowlevel
 
 READ_SIZE = 1 << 16
 
@@ -111,19 +112,25 @@
 
     async def read_into(self, room) -> int:
         """Read what is there into a writable slice; 0 at the end."""
-        while True:
-            try:
-                return self.sock.recv_into(room)
-            except BlockingIOError:
-                await self._ready(anyio.wait_readable)
+        return await self._receive(self.sock.recv_into, room)
 
     async def read(self) -> bytes:
         """Read what is there; empty at the end."""
+        return await self._receive(self.sock.recv, READ_SIZE)
+
+    async def _receive(self, receive, what):
+        waited = False
         while True:
             try:
-                return self.sock.recv(READ_SIZE)
+                got = receive(what)
             except BlockingIOError:
                 await self._ready(anyio.wait_readable)
+                waited = True
+                continue
+            if not waited:
+                # Danger: who always finds data would hold the loop, and all others wait for its turn.
+                await anyio.lowlevel.checkpoint()
+            return got
 
     def quiet(self) -> bool:
         """Whether the other side has neither closed nor sent anything."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -212,6 +212,9 @@
                     return
                 if hasattr(reply, "__await__"):
                     reply = await reply
+                if isinstance(reply, bytes):
+                    await connection.write(reply)  # as it is, and the connection stays open
+                    continue
                 status, more, data = reply
                 head = [*more, ("Content-Length", str(len(data)))]
                 out = wire.send(h11.Response(status_code=status, headers=head, reason=b""))
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -7,7 +7,7 @@
 
 from pinspread.amqp import frames
 from pinspread.config import settings
-from pinspread.net import resp
+from pinspread.net import http, resp
 from pinspread.net.http import retry_after_us
 from pinspread.net.sockets import split_address
 
@@ -80,6 +80,30 @@
     assert retry_after_us(text) == us
 
 
+@pytest.mark.parametrize(
+    ("seen", "status"),
+    [
+        (b"HTTP/1.1 20", None),
+        (b"HTTP/1.1 200\r\n", 200),
+        (b"HTTP/1.0 503 Busy\n", 503),
+        (b"HTTP/1.1 100 Go on\r\nX: y\r\n", None),
+        (b"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 102 On\r\n\r\nHTTP/1.1 429 Wait\r\n", 429),
+    ],
+)
+def test_the_first_line_tells_the_status_past_1xx_answers(seen, status):
+    assert http.first_line(seen) == status
+
+
+@pytest.mark.parametrize(
+    "seen",
+    [b"ICY 200 OK\r\n", b"HTTP/1.1 OK 200\r\n", b"HTTP/1.1 2x0 OK\r\n", b"HTTP/1.1 2000\r\n", b"\n"]
+    + [b"HTTP/1.1 200 OK\r\r\n", b"x" * 20_000, b"HTTP/1.1 100 Go on\r\nX: " + b"x" * 20_000],
+)
+def test_what_is_no_first_line_is_spoilt(seen):
+    with pytest.raises(http.SpoiltError):
+        http.first_line(seen)
+
+
 @pytest.mark.parametrize("text", ["", "host", ":1", "host:", "host:x"])
 def test_an_address_is_host_and_port(text):
     with pytest.raises(ValueError):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
 from standins import Client, HttpStandIn, configuration, courier, host, listener, own_address, standing, until
 
 from pinspread.interface import ListScope, ListState
+from pinspread.net import sockets
 from pinspread.net.discovery import Discovery
 
 pytestmark = pytest.mark.anyio
@@ -132,6 +133,78 @@
             assert [line["state"] for line in told.lines] == ([state] if state else [])
 
 
+@pytest.mark.parametrize(
+    ("reply", "calls", "state"),
+    [
+        (b"HTTP/1.1 200 OK\r\nno colon here\r\n\r\n", 1, None),
+        (b"HTTP/1.1 200 OK\r\nX: " + b"x" * 40_000, 1, None),  # a head that does not end
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", 1, None),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\na", 1, None),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * (1 << 20), 1, None),
+        (b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 1, None),
+        (b"HTTP/1.1 2x0 OK\r\n\r\n", 1, "failed"),
+        (b"\x9e\x0f\xff noise\r\n", 1, "failed"),
+        (b"HTTP/1.1 503 Busy\r\nContent-Length: 9\r\n\r\nab", 1, "failed"),
+        (b"HTTP/1.1 503 Busy\r\nContent-Length: 1\r\n\r\nabc", 1, "failed"),
+        (b"HTTP/1.1 504 Spent\r\nContent-Length: ten\r\n\r\n", 1, "failed"),
+        (b"HTTP/1.1 429 Wait\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * (1 << 20), 1, "failed"),
+        (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n" * 2, 2, None),  # a good one, twice
+    ],
+)
+async def test_a_first_line_with_200_delivers_and_no_other_spoilt_answer_proves_a_thing(
+    tmp_path, reply, calls, state
+):
+    hop, told = scripted(reply), platform()
+    async with standing(hop) as address, standing(told) as notices:
+        async with courier(tmp_path, notices, hops=[(address,)]) as rig:
+            await Client(rig.address).enqueue(for_ms=1500)
+            await until(lambda: not rig.courier.ids)
+            assert len(hop.requests) == calls
+            assert [line["state"] for line in told.lines] == ([state] if state else [])
+
+
+async def test_what_comes_behind_an_answer_never_answers_the_next_call(tmp_path):
+    twice = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" * 2
+    hop = scripted(twice, (500, [], b""))
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        client = Client(rig.address)
+        for n in range(2):
+            await client.enqueue(id_=f"m{n}")
+            await until(lambda: not rig.courier.open)
+        assert hop.connections == 2 and rig.courier.ids["m1"].final.state.name == "FAILED"
+
+
+async def test_a_wait_told_in_a_spoilt_answer_binds_from_its_head_on(tmp_path):
+    hop = scripted(b"HTTP/1.1 429 Wait\r\nRetry-After: 0.6\r\nContent-Length: 9\r\n\r\n")
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        for n in range(3):
+            await Client(rig.address).enqueue("status-update", id_=f"m{n}")
+            await until(lambda: hop.requests)
+            await anyio.sleep(0.1)
+        await until(lambda: len(hop.requests) > 1)
+        assert hop.requests[1][0] - hop.requests[0][0] >= 0.6
+
+
+async def test_one_who_always_has_data_does_not_hold_the_loop():
+    sock, address = listener()
+    theirs = await sockets.dial(address)
+    ours, read = sockets.Connection(sock.accept()[0]), []
+    await theirs.write(b"x" * 10_000)
+    await anyio.sleep(0.05)
+
+    async def read_on():
+        for _ in range(10):
+            read.append(await ours.read_into(bytearray(1000)))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(read_on)
+        for _ in range(3):
+            await anyio.sleep(0)
+        assert 0 < len(read) < 10  # others have had their turns between
+    for each in (ours, theirs, sock):
+        each.close()
+
+
 async def test_a_timed_out_payment_fails_and_its_connection_is_closed(tmp_path):
     hop, told = HttpStandIn(lambda request: late(30)), platform()
     async with standing(hop) as address, standing(told) as notices:
