Bound silent, idle and flooding caller legs, and turn away unknown partners

The endpoints' side was ruled out: 46 connections at most were open to them, and no EMFILE came.

Faulty: net/sockets.py `accept_forever` closed every newcomer once `Room` was full and never yielded; net/front.py `serve` had no time limit, no bound on a command or on all together, answered any number of malformed commands, and closed over unread bytes (a reset, and the error line lost); `_enqueue` and the AMQP `_transaction` took any `dest` on.

Now a full room makes place (silent for 50 ms, then idle for 2 s) and else leaves newcomers with the kernel; a command is owed whole in 2.2 s; idle legs end after 5 s; malformed commands slow a leg down and end it after eight; what follows a last word is read and dropped; half commands share an eighth of the memory. The AMQP front shares room and bounds, greets within 2 s, yields, and ends who does not read.

--- a/pinspread/amqp/front.py
+++ b/pinspread/amqp/front.py
@@ -11,8 +11,9 @@
 from secrets import token_hex
 
 import anyio
+import anyio.lowlevel
 import orjson
-from pamqp import commands, frame, heartbeat
+from pamqp import base, commands, frame, heartbeat
 
 from pinspread.amqp import frames
 from pinspread.amqp.frames import AmqpError
@@ -20,12 +21,13 @@
 from pinspread.core.log import log
 from pinspread.core.transactions import Final, Transaction
 from pinspread.net import resp
-from pinspread.net.sockets import accept_forever
+from pinspread.net.sockets import Room, accept_forever
 
 NAME = "amqp"
 CHANNEL_MAX = 64
 HEARTBEAT_S = 30
-GREET_S = 5.0
+GREET_S = 2.0
+AT_ONCE = 32  # frames of one session that are handled before others have their turn
 CLOSE_S = 1.0
 MOST_UNSENT = 4 << 20  # bytes that a client may leave unread before its connection is ended
 # Clients look here for what goes beyond the specification before they use it.
@@ -49,7 +51,7 @@
 
     def __init__(self, courier, heartbeat_s=HEARTBEAT_S, room=None):
         self.courier = courier
-        self.room = room
+        self.room = room or Room(courier.clock)
         self.heartbeat_s = heartbeat_s
         self.queues = {}
         self.sessions = set()
@@ -62,9 +64,9 @@
         finally:
             sock.close()
 
-    async def serve(self, connection):
+    async def serve(self, connection, leg):
         """One caller leg."""
-        session = Session(self, connection)
+        session = Session(self, connection, leg)
         self.sessions.add(session)
         try:
             await session.run()
@@ -217,8 +219,9 @@
 class Session:
     """One connection of a client."""
 
-    def __init__(self, front, connection):
+    def __init__(self, front, connection, leg):
         self.front = front
+        self.leg = leg
         self.courier = front.courier
         self.connection = connection
         self.wire = frames.Wire(connection, front.courier.clock)
@@ -240,14 +243,16 @@
     def _post(self, data):
         self.out += data
         self.wake.set()
+        if len(self.out) > MOST_UNSENT:
+            # Danger: a client that does not read would have all its answers kept in memory.
+            log("amqp_lost", error="the client does not read")
+            self.connection.end()
 
     async def _flush(self):
         while True:
             await self.wake.wait()
             self.wake = anyio.Event()
             while self.out:
-                if len(self.out) > MOST_UNSENT:
-                    raise ConnectionResetError("the client does not read")
                 data, self.out = bytes(self.out), bytearray()
                 await self.wire.write(data)
 
@@ -258,6 +263,7 @@
         try:
             if not await self._greet():
                 return
+            self.leg.kept = True  # heartbeats tell when the client is gone
             async with anyio.create_task_group() as tasks:
                 for work in (self._guard(self._flush), self._guard(self.wire.beat, self.heartbeat_s)):
                     tasks.start_soon(work, tasks.cancel_scope)
@@ -324,7 +330,9 @@
                 pass
 
     async def _follow(self):
-        while True:
+        for handled in count(1):
+            if not handled % AT_ONCE:
+                await anyio.lowlevel.checkpoint()  # Danger: one who always has frames would hold the loop
             try:
                 number, found = await self.wire.frame()
                 if number == 0:
@@ -378,6 +386,10 @@
                     self.post(number, commands.Channel.CloseOk())
             return
         whole = channel.contents.feed(found)
+        if not isinstance(found, base.Frame):
+            held = sum(len(c.contents.body) for c in self.channels.values())
+            if not self.front.room.hold(self.leg, held):
+                raise AmqpError(frames.RESOURCE_ERROR, "no room for more contents", channel.contents.method)
         if whole is None:
             return
         method, properties, body = whole
@@ -480,8 +492,10 @@
         headers = {name: properties.headers.get(name) for name in HEADERS} if properties.headers else {}
         try:
             cls, tenant = str(headers.get("class") or ""), str(headers.get("tenant") or "")
-            if not told.knows(cls, tenant):
-                raise resp.CommandError(f"unknown class or tenant: {cls[:32]!r}, {tenant[:32]!r}")
+            dest = resp.number(str(headers.get("dest", "")), "dest", resp.MOST_DEST)
+            unknown = self.courier.unknown(cls, tenant, dest)
+            if unknown:
+                raise resp.CommandError(unknown)
             id_ = resp.name(str(properties.message_id or "").encode(), "message-id")
             if not properties.reply_to:
                 raise resp.CommandError("reply-to is missing")
@@ -491,7 +505,6 @@
             deadline_ms = told.module.classes[told.classes[cls]].deadline_ns // 1_000_000
             expiration = properties.expiration or str(deadline_ms)
             for_ms = resp.number(expiration, "expiration", resp.MOST_FOR_MS)
-            dest = resp.number(str(headers.get("dest", "")), "dest", resp.MOST_DEST)
             key = key_number(str(headers.get("key") or "0"))
         except resp.CommandError as error:
             raise AmqpError(frames.PRECONDITION_FAILED, str(error), method) from None
--- a/pinspread/config/settings.py
+++ b/pinspread/config/settings.py
@@ -28,6 +28,7 @@
     seed: int
     disk_bytes: int
     sockets: int
+    memory_bytes: int
     known: dict
     module: api.Settings
     classes: dict  # name -> place in the module's settings
@@ -116,6 +117,7 @@
             seed=int(str(told["seed"]), 16),
             disk_bytes=int(told["limits"]["disk_mb"] * 1_000_000),
             sockets=told["limits"].get("sockets", 1024),
+            memory_bytes=int(told["limits"].get("memory_mb", 192) * 1_000_000),
             known=told["known"],
             module=module,
             classes=_places(settings["lanes"]),
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -40,6 +40,7 @@
         self.open = {}  # number -> transaction without a final answer
         self.ids = {}  # id -> its transaction, for those that are not over
         self.next_hops = {}
+        self.dests = set()  # partners that the list has named, though they may have no next hop just now
         self.told_us = {}  # dest, or route apart -> until when it told this courier to wait
         self.notified = {}  # key -> how many of its ends are still to be heard
         self.branches = {}  # (number, branch) -> Branch
@@ -71,6 +72,15 @@
                 self._hand_to_module(t)
         log("recovered", held=len(self.open), notices=len(held) - len(self.open))
 
+    def unknown(self, cls, tenant, dest) -> str:
+        """What of a message nothing can be decided for; empty if all is known."""
+        if not self.settings.knows(cls, tenant):
+            return f"unknown class or tenant: {cls[:32]!r}, {tenant[:32]!r}"
+        # Danger: taken on for a partner that does not exist, a message fills a place until its time is up.
+        if self.dests and dest not in self.dests:
+            return f"unknown dest: {dest}"
+        return ""
+
     def take(self, transaction: Transaction):
         """Take a transaction on: it is in the journal when this returns. Raises Busy."""
         known = self.ids.get(transaction.id)
@@ -105,6 +115,7 @@
         entries = []
         for hop, state in next_hops:
             self.next_hops[hop.id] = hop
+            self.dests.add(hop.dest)
             hop.usable = state is api.ListState.READY
             entries.append(api.ListEntry(hop.id, hop.dest, hop.zone, hop.kind, state, hop.weight))
         for hop in self.next_hops.values():
--- a/pinspread/net/front.py
+++ b/pinspread/net/front.py
@@ -1,6 +1,7 @@
 """The platform's front: RESP2 caller legs in, notices out."""
 
 import anyio
+import anyio.lowlevel
 import orjson
 
 from pinspread.core.courier import Busy
@@ -8,12 +9,16 @@
 from pinspread.core.transactions import State, Transaction
 from pinspread.net import resp
 from pinspread.net.http import Exchange
-from pinspread.net.sockets import ReadBuffer, accept_forever, dial
+from pinspread.net.sockets import ReadBuffer, Room, accept_forever, dial
 
 NAME = "resp"
 NOTICE_S = 1.0  # how long one POST of notices may take; answered at once as a rule
 AGAIN_S = (0.05, 0.1, 0.2, 0.4)  # waits between tries, the last for all further ones
 MOST_NOTICES = 200
+AT_ONCE = 32  # commands of one caller leg that are answered before others have their turn
+MOST_ERRORS = 8  # malformed commands after which a caller leg is closed
+ERROR_S = 0.02  # rest of a leg after each, and longer from one to the next
+MOST_PING = 1024
 
 
 class RespFront:
@@ -25,24 +30,42 @@
     def __init__(self, courier, notices, room=None):
         self.courier = courier
         self.notices = notices
-        self.room = room
+        self.room = room or Room(courier.clock)
 
     async def run(self, sock):
         """Accept and serve until cancelled."""
         async with anyio.create_task_group() as tasks:
             await accept_forever(sock, tasks, self.serve, self.room)
 
-    async def serve(self, connection):
+    async def serve(self, connection, leg):
         """One caller leg."""
-        buffer = ReadBuffer()
+        buffer = ReadBuffer(lambda size: self.room.hold(leg, size))
+        leg.word = b"-ERR no whole command in time\r\n"
+        errors = 0
+        need = 1
         try:
             while await buffer.fill(connection):
-                answers = bytearray()
-                follow = self._commands(connection, buffer, answers)
-                if answers:
-                    await connection.write(answers)
+                # Danger: parsed from its first byte at each read, a command that trickles in costs a lot.
+                follow = True
+                while follow and buffer.end - buffer.start >= need:
+                    answers = bytearray()
+                    follow, need, wrong = self._commands(connection, leg, buffer, answers)
+                    if answers:
+                        await connection.write(answers)
+                    errors += wrong
+                    if wrong:
+                        # Danger: who sends the same again as soon as it is turned away would take the core.
+                        follow = follow and errors < MOST_ERRORS
+                        await anyio.sleep(min(ERROR_S * errors, 1.0) if follow else 0)
+                    else:
+                        await anyio.lowlevel.checkpoint()  # hundreds of commands at once: others in turn
                 if not follow:
+                    await connection.part()
                     return
+        except ConnectionRefusedError as error:
+            log("malformed", error=str(error))
+            connection.say(b"-BUSY 1000\r\n")
+            await connection.part()
         except OSError:
             pass  # the client is gone
         except Exception as error:
@@ -51,43 +74,58 @@
         finally:
             connection.close()
 
-    def _commands(self, connection, buffer, answers):
-        """Answer all whole commands; false if the stream cannot be followed any more."""
-        while buffer.end:
+    def _commands(self, connection, leg, buffer, answers):
+        """Answer whole commands, a few at a time.
+
+        Gives whether the stream can still be followed, the bytes that the next command has at the least, and
+        how many commands were malformed.
+        """
+        wrong = 0
+        for _ in range(AT_ONCE):
+            if not buffer.end:
+                break
             try:
-                found = resp.parse(buffer.view())
-                if found is None:
-                    return True
-                arguments, size = found
-                answers += self._command(connection, arguments)
+                arguments, size = resp.parse(buffer.view())
+                if arguments is None:
+                    leg.begun(self.courier.clock.now())
+                    return True, size, wrong
+                self.room.hold(leg, 0)
+                good, answer = self._command(connection, arguments)
+                answers += answer
                 buffer.consume(size)
             except resp.ProtocolError as error:
                 log("malformed", error=str(error))
                 answers += _error(error)
-                return False
-        return True
+                return False, 1, wrong + 1
+            if good:
+                leg.spoken(self.courier.clock.now())
+            else:
+                wrong += 1
+        return True, 1, wrong
 
     def _command(self, connection, arguments):
+        """Whether it was well-formed, and its answer."""
         name = bytes(arguments[0][:16]).upper()
         try:
             if name == b"ENQUEUE":
-                return self._enqueue(connection, *resp.enqueue(arguments))
-            if name == b"PING":
-                return b"+PONG\r\n" if len(arguments) == 1 else _bulk(arguments[1])
+                return True, self._enqueue(connection, *resp.enqueue(arguments))
+            if name == b"PING" and sum(map(len, arguments)) < MOST_PING:
+                return True, b"+PONG\r\n" if len(arguments) == 1 else _bulk(arguments[1])
             raise resp.CommandError(f"unknown command {name!r}")
         except resp.CommandError as error:
             log("malformed", error=str(error))
-            return _error(error)
+            return False, _error(error)
         except Busy as error:
             log("busy", why=str(error))
-            return b"-BUSY %d\r\n" % error.after_ms
+            return True, b"-BUSY %d\r\n" % error.after_ms
 
     def _enqueue(self, connection, key, id_, options, body):
         courier = self.courier
         told = courier.settings
         cls, tenant = options["c"], options.get("t", "")
-        if not told.knows(cls, tenant):
-            raise resp.CommandError(f"unknown class or tenant: {cls[:32]!r}, {tenant[:32]!r}")
+        unknown = courier.unknown(cls, tenant, options["dest"])
+        if unknown:
+            raise resp.CommandError(unknown)
         if connection.ended():
             # Danger: a client that has stopped waiting hands the message in again under another id.
             raise Busy(0, "the caller has gone")
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -30,7 +30,7 @@
     pool = Pool(clock, told.keepalive_us)
     notices = front.Notices(told.discovery)
     courier.transports["http"] = HttpTransport(clock, pool, told.dial_us)
-    room = sockets.Room(told.sockets // 2)
+    room = sockets.Room(clock, told.sockets * 5 // 8, told.memory_bytes // 8)
     courier.fronts[front.NAME] = first = front.RespFront(courier, notices, room)
     courier.fronts[AMQP] = second = AmqpFront(courier, amqp.heartbeat_s, room)
     discovery = discover(courier) if discover else Discovery(told.discovery, courier, told)
@@ -48,7 +48,7 @@
     with anyio.open_signal_receiver(*wanted) as signals:
         async with anyio.create_task_group() as tasks:
             courier.transports["amqp"] = BrokerTransport(clock, tasks, told.dial_us, login)
-            for run in (courier.run, notices.run, discovery.run, pool.run):
+            for run in (courier.run, notices.run, discovery.run, pool.run, room.run):
                 tasks.start_soon(run)
             for one, sock in listeners:
                 tasks.start_soon(one.run, sock)
--- a/pinspread/net/resp.py
+++ b/pinspread/net/resp.py
@@ -3,6 +3,7 @@
 MOST_ARGUMENTS = 16
 MOST_BODY = 64 * 1024
 MOST_BULK = 96 * 1024  # longer ones end the connection; up to it a command is read and answered an error
+MOST_COMMAND = 128 * 1024  # all of them together
 MOST_LINE = 32
 MOST_FOR_MS = 10**9
 MOST_DEST = 65_535
@@ -19,10 +20,13 @@
 
 
 def parse(view):
-    """The command that a view starts with: arguments as slices, its length; None if it is not whole."""
+    """The command that a view starts with: arguments as slices, its length.
+
+    Where it is not whole, None and the length that it has at the least: no use in parsing less.
+    """
     line = _line(view, 0, b"*")
     if line is None:
-        return None
+        return None, len(view) + 1
     count, at = line
     if not 1 <= count <= MOST_ARGUMENTS:
         raise ProtocolError(f"a command of {count} arguments")
@@ -30,12 +34,14 @@
     for _ in range(count):
         line = _line(view, at, b"$")
         if line is None:
-            return None
+            return None, len(view) + 1
         size, at = line
         if not 0 <= size <= MOST_BULK:
             raise ProtocolError(f"a string of {size} bytes")
+        if at + size > MOST_COMMAND:
+            raise ProtocolError(f"a command of over {MOST_COMMAND} bytes")
         if len(view) < at + size + 2:
-            return None
+            return None, at + size + 2
         if view[at + size : at + size + 2] != b"\r\n":
             raise ProtocolError("a string does not end where its length says")
         arguments.append(view[at : at + size])
--- a/pinspread/net/sockets.py
+++ b/pinspread/net/sockets.py
@@ -6,7 +6,17 @@
 import anyio
 import anyio.lowlevel
 
+from pinspread.core.log import log
+
 READ_SIZE = 1 << 16
+LEAST_BUFFER = 1 << 13
+FIRST_US = 2_200_000  # for a first command, or the rest of a begun one; a caller leg is owed an end in 3 s
+SILENT_US = 50_000  # after which one that has said nothing gives way to newcomers
+IDLE_US = 2_000_000  # and one that waits for its next command
+LONG_IDLE_US = 5_000_000  # after which it is closed though there is room
+SWEEP_S = 0.25
+FULL_S = 0.01
+PART_S = 3.0
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -27,26 +37,120 @@
     return sock
 
 
+class Leg:
+    """What the room knows of one caller leg."""
+
+    __slots__ = ("bytes", "connection", "half", "kept", "since_us", "spoke", "word")
+
+    def __init__(self, connection, now_us):
+        self.connection = connection
+        self.since_us = now_us  # since when it waits for its next command, or that for its rest
+        self.spoke = False  # whether a command of it has been answered well
+        self.half = False  # whether a command has begun and is not whole
+        self.kept = False  # its protocol tells by itself when the other side is gone
+        self.bytes = 0  # held for it beyond what each leg has
+        self.word = b""  # the last word if it does not say a whole command in time
+
+    def begun(self, now_us):
+        """A command has begun and is not whole; a first one counts from the leg's own begin."""
+        if self.spoke and not self.half:
+            self.since_us = now_us
+        self.half = True
+
+    def spoken(self, now_us):
+        """A command was answered well."""
+        self.spoke, self.half = True, False
+        self.since_us = now_us
+
+
 class Room:
-    """How many caller legs the fronts may hold together."""
+    """How many caller legs the fronts may hold together, and how many bytes for them."""
 
-    def __init__(self, most=512):
+    def __init__(self, clock, most=512, most_bytes=8 << 20):
+        self.clock = clock
         self.most = most
-        self.used = 0
+        self.most_bytes = most_bytes
+        self.bytes = 0
+        self.legs = {}  # connection -> Leg, in the order in which they came
+
+    def enter(self, connection):
+        """Another caller leg."""
+        leg = self.legs[connection] = Leg(connection, self.clock.now())
+        return leg
+
+    def leave(self, leg):
+        """It has ended."""
+        self.hold(leg, 0)
+        self.legs.pop(leg.connection, None)
+
+    def hold(self, leg, size) -> bool:
+        """Have that many bytes held for a leg; false if there is no room for more."""
+        more = size - leg.bytes
+        # Danger: hundreds of commands that are never finished would take all memory.
+        if more > 0 and self.bytes + more > self.most_bytes:
+            return False
+        self.bytes += more
+        leg.bytes = size
+        return True
+
+    def make(self) -> bool:
+        """Whether there is room for another leg; one that serves nobody gives way."""
+        if len(self.legs) < self.most:
+            return True
+        # Danger: callers that say nothing, or asked once and stay, would keep the usual ones out.
+        now_us = self.clock.now()
+        spare = None
+        for leg in self.legs.values():
+            idle_us = now_us - leg.since_us
+            least_us = IDLE_US if leg.spoke else SILENT_US
+            if not leg.kept and idle_us > least_us and leg.connection.quiet():
+                if spare is None or (leg.spoke, leg.since_us) < (spare.spoke, spare.since_us):
+                    spare = leg
+        if spare is not None:
+            self._end(spare, "room for others")
+        return spare is not None
+
+    def sweep(self):
+        """End the legs that keep what they began waiting, or have been idle for long."""
+        now_us = self.clock.now()
+        for leg in list(self.legs.values()):
+            if leg.kept:
+                continue
+            idle = leg.spoke and not leg.half
+            if now_us - leg.since_us > (LONG_IDLE_US if idle else FIRST_US):
+                # Danger: a command that was half sent, or never begun, is owed an answer or a close in time.
+                if leg.word and not idle:
+                    leg.connection.say(leg.word)
+                self._end(leg, "idle" if idle else "no command")
+
+    def _end(self, leg, why):
+        log("leg_ended", why=why, legs=len(self.legs))
+        self.legs.pop(leg.connection, None)
+        leg.connection.end()
+
+    async def run(self):
+        """Sweep until cancelled."""
+        while True:
+            await anyio.sleep(SWEEP_S)
+            self.sweep()
 
 
 async def accept_forever(sock: socket.socket, tasks, serve, room: Room | None = None):
-    """Start `serve(connection)` for each connection that comes and finds room."""
-    room = room or Room()
+    """Start `serve(connection)` for each connection that comes and finds room; with a leg, if it counts."""
 
     async def held(connection):
-        room.used += 1
+        leg = room.enter(connection)
         try:
-            await serve(connection)
+            await serve(connection, leg)
         finally:
-            room.used -= 1
+            room.leave(leg)
 
     while True:
+        if room and not room.make():
+            # Danger: callers that take all descriptors leave none for branches, notices and the journal.
+            # Closed at once, a newcomer has failed; left with the kernel, it waits for a leg to end.
+            await anyio.sleep(FULL_S)
+            continue
         try:
             peer, _ = sock.accept()
         except BlockingIOError:
@@ -57,12 +161,13 @@
                 raise
             await anyio.sleep(0.05)  # out of descriptors: those in use must not be lost
             continue
-        if room.used >= room.most:
-            # Danger: callers that take all descriptors leave none for branches, notices and the journal.
-            peer.close()
-            await anyio.sleep(0)
+        try:
+            connection = Connection(peer)
+        except OSError:
+            peer.close()  # gone already
             continue
-        tasks.start_soon(held, Connection(peer))
+        tasks.start_soon(held if room else serve, connection)
+        await anyio.lowlevel.checkpoint()  # Danger: a flood of newcomers would hold the loop
 
 
 async def dial(address: str) -> "Connection":
@@ -151,16 +256,44 @@
         except OSError:
             return True
 
+    def say(self, data):
+        """Write a short last word if the other side takes it at once."""
+        try:
+            self.sock.send(data)
+        except OSError:
+            pass
+
+    async def part(self):
+        """After a last word: read what still comes, until the other side has ended or for a while."""
+        # Danger: a connection closed over unread bytes is reset, and the last word is lost with it.
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            with anyio.move_on_after(PART_S):
+                while await self.read_into(_scratch):
+                    pass
+        except OSError:
+            pass
+
+    def end(self):
+        """Close it under a task that may be waiting for it: that one sees it lost."""
+        if self.sock.fileno() >= 0:
+            anyio.notify_closing(self.sock)
+            self.sock.close()
+
     def close(self):
         self.sock.close()
 
 
+_scratch = memoryview(bytearray(READ_SIZE))
+
+
 class ReadBuffer:
     """Bytes read and not yet consumed; slices of it are good until the next read."""
 
-    def __init__(self, size=1 << 14):
-        self.data = bytearray(size)
+    def __init__(self, hold=None):
+        self.data = bytearray(LEAST_BUFFER)
         self.start = self.end = 0
+        self.hold = hold or (lambda size: True)  # asked before it grows; ConnectionRefusedError if it may not
 
     def view(self) -> memoryview:
         """What is to be parsed."""
@@ -174,9 +307,13 @@
 
     def room(self) -> memoryview:
         """A writable slice behind what is held, made larger or moved to the front where it is short."""
-        if len(self.data) - self.end < 4096:
+        if not self.end and len(self.data) > LEAST_BUFFER:
+            self.data = bytearray(LEAST_BUFFER)
+        if len(self.data) - self.end < LEAST_BUFFER // 4:
             held = bytes(self.view())
             if len(held) > len(self.data) // 2:
+                if not self.hold(2 * len(self.data)):
+                    raise ConnectionRefusedError("no room for more of it")
                 self.data = bytearray(2 * len(self.data))
             self.data[: len(held)] = held
             self.start, self.end = 0, len(held)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -112,7 +112,7 @@
 
 
 @asynccontextmanager
-async def courier(state, platform="127.0.0.1:1", hops=(), room=None, **limits):
+async def courier(state, platform="127.0.0.1:1", hops=(), legs=512, leg_bytes=8 << 20, **limits):
     """A courier that serves; it ends as if killed, with nothing but its journal left."""
     told = settings.read(configuration(state, **limits), {})
     clock = Clock()
@@ -120,9 +120,10 @@
     core = Courier(Sender(told.module, told.seed), told, clock, journal)
     pool = Pool(clock, told.keepalive_us)
     notices = front.Notices(platform)
+    room = sockets.Room(clock, legs, leg_bytes)
     core.transports["http"] = HttpTransport(clock, pool, told.dial_us)
     core.fronts["resp"] = resp = front.RespFront(core, notices, room)
-    core.fronts["amqp"] = amqp = AmqpFront(core)
+    core.fronts["amqp"] = amqp = AmqpFront(core, room=room)
     core.subscribe = Discovery(platform, core, told).ask
     async with anyio.create_task_group() as tasks:
         core.transports["amqp"] = BrokerTransport(clock, tasks, told.dial_us)
@@ -131,7 +132,7 @@
         for hop in hops:
             rig.learn(*hop)
         core.recover()
-        for run in (core.run, notices.run, pool.run):
+        for run in (core.run, notices.run, pool.run, room.run):
             tasks.start_soon(run)
         tasks.start_soon(resp.run, resp_sock)
         tasks.start_soon(amqp.run, amqp_sock)
--- a/tests/test_amqp_front.py
+++ b/tests/test_amqp_front.py
@@ -201,3 +201,41 @@
             await client.publish("m1")
             assert isinstance((await client.next())[0], commands.Basic.Ack)
             assert ("m1" in rig.courier.ids) is again
+
+
+async def test_a_silent_client_is_closed_in_time_and_one_that_does_not_read_is_ended(tmp_path, monkeypatch):
+    from pinspread.amqp import front
+
+    monkeypatch.setattr(front, "GREET_S", 0.2)
+    monkeypatch.setattr(front, "MOST_UNSENT", 100_000)
+    async with courier(tmp_path) as rig:
+        silent = await dial(rig.amqp)
+        with anyio.fail_after(1):
+            assert await silent.read() == b""
+        silent.close()
+        client = await AmqpClient.open(rig.amqp)
+        rig.courier.stopping = True  # each publish comes back whole
+        with pytest.raises(OSError), anyio.fail_after(10):
+            for n in range(1000):
+                await client.publish(f"m{n}", body=b"x" * 60_000)
+        client.close()
+
+
+async def test_a_publish_for_an_unknown_partner_ends_the_channel(tmp_path):
+    async with courier(tmp_path, hops=[("127.0.0.1:1",)]) as rig:
+        client = await AmqpClient.open(rig.amqp)
+        await client.publish("m1", dest=2)
+        method, _, _ = await client.next()
+        assert isinstance(method, commands.Channel.Close) and method.reply_code == frames.PRECONDITION_FAILED
+
+
+async def test_contents_that_are_never_whole_share_a_bound_of_memory(tmp_path):
+    async with courier(tmp_path, leg_bytes=10_000) as rig:
+        client = await AmqpClient.open(rig.amqp)
+        whole = frames.content(
+            commands.Basic.Publish(0, "", "p", False), commands.Basic.Properties(), b"x" * 60_000, 1, 4096
+        )
+        await client.wire.write(whole[:-100])
+        with anyio.fail_after(2):
+            method, _, _ = await client.next()
+        assert isinstance(method, commands.Connection.Close) and method.reply_code == frames.RESOURCE_ERROR
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -23,7 +23,8 @@
 def test_a_command_is_parsed_whole_or_not_at_all(words):
     data = command(*words)
     for end in range(len(data)):
-        assert resp.parse(memoryview(data)[:end]) is None
+        arguments, least = resp.parse(memoryview(data)[:end])
+        assert arguments is None and end < least <= len(data)
     arguments, size = resp.parse(memoryview(data + b"*1\r\n"))
     assert ([bytes(a) for a in arguments], size) == (words, len(data))
 
@@ -31,7 +32,15 @@
 @pytest.mark.parametrize(
     "data",
     [b"PING\r\n", b"*0\r\n", b"*99\r\n", b"*-1\r\n", b"*x\r\n", b"*\r\n", b"*1\r\n:1\r\n", b"*1\r\n$-1\r\n"]
-    + [b"*1\r\n$9999999\r\n", b"*1\r\n$1\r\nxyz", b"*" + b"1" * 40, b"*1\r\n$1\r\nx\n\r", b"\0", b"*1\n\n"],
+    + [
+        b"*2\r\n$90000\r\n" + b"x" * 90_000 + b"\r\n$90000\r\n",
+        b"*1\r\n$9999999\r\n",
+        b"*1\r\n$1\r\nxyz",
+        b"*" + b"1" * 40,
+        b"*1\r\n$1\r\nx\n\r",
+        b"\0",
+        b"*1\n\n",
+    ],
 )
 def test_a_stream_that_cannot_be_followed_is_an_error(data):
     with pytest.raises(resp.ProtocolError):
@@ -154,7 +163,7 @@
                 data[chance.randrange(len(data))] = chance.randrange(256)
             view, contents = memoryview(data), frames.Contents(100)
             try:
-                while len(view) and (found := parse(view)):
+                while len(view) and (found := parse(view)) and found[0] is not None:
                     if parse is resp.parse:
                         resp.enqueue(found[0])
                     else:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -88,17 +88,82 @@
         assert not rig.courier.ids
 
 
-async def test_callers_beyond_the_room_are_turned_away_and_the_rest_go_on(tmp_path):
-    from pinspread.net.sockets import Room
-
-    async with courier(tmp_path, room=Room(2)) as rig:
-        first, second = Client(rig.address), Client(rig.address)
-        assert await first.say("PING") == await second.say("PING") == "+PONG\r\n"
+async def test_a_message_for_a_partner_that_does_not_exist_is_an_error(tmp_path):
+    async with courier(tmp_path, hops=[("127.0.0.1:1",)]) as rig:
+        assert await Client(rig.address).enqueue(dest=2) == "-ERR unknown dest: 2\r\n"
+        assert await Client(rig.address).enqueue(dest=1) == "+OK\r\n"
+
+
+async def ends(address, said):
+    """All that a caller hears that says this and then waits; it must not be reset."""
+    stream = await sockets.dial(address)
+    await stream.write(said)
+    heard = b""
+    with anyio.fail_after(5):
+        while piece := await stream.read():
+            heard += piece
+    stream.close()
+    return heard
+
+
+async def test_newcomers_are_served_though_silent_or_idle_callers_fill_the_room(tmp_path, monkeypatch):
+    monkeypatch.setattr(sockets, "IDLE_US", 300_000)
+    async with courier(tmp_path, legs=4) as rig:
+        usual = [Client(rig.address) for _ in range(2)]
+        silent = [await sockets.dial(rig.address) for _ in range(10)]
+        for client in usual:  # the silent give way at once, those that wait for their next command later
+            assert await client.say("PING") == "+PONG\r\n"
+        late_ones = [Client(rig.address) for _ in range(6)]
+        for client in late_ones:
+            assert await client.say("PING") == "+PONG\r\n"
         with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
-            await Client(rig.address).say("PING")
-        await first.stream.aclose()
-        await until(lambda: rig.courier.fronts["resp"].room.used == 1)
+            await usual[0].say("PING")
+        for connection in silent:
+            connection.close()
+
+
+@pytest.mark.parametrize(
+    "said", [b"", b"*5\r\n$7\r\nENQ", b"*1\r\n$4\r\nPING\r\n*5\r\n$7\r\nENQ", b"*1\r\n$4\r\nPING\r\n"]
+)
+async def test_who_keeps_a_command_waiting_or_is_idle_for_long_is_ended_in_time(tmp_path, monkeypatch, said):
+    monkeypatch.setattr(sockets, "FIRST_US", 200_000)
+    monkeypatch.setattr(sockets, "LONG_IDLE_US", 800_000)
+    async with courier(tmp_path) as rig:
+        start = time.monotonic()
+        heard = await ends(rig.address, said)
+        idle = said.endswith(b"PING\r\n")
+        assert heard.endswith(b"+PONG\r\n" if idle else b"-ERR no whole command in time\r\n")
+        assert (0.8 if idle else 0.2) <= time.monotonic() - start < (1.3 if idle else 0.7)
+        assert not rig.courier.fronts["resp"].room.legs
+
+
+async def test_the_error_is_heard_though_much_is_still_unread(tmp_path):
+    async with courier(tmp_path) as rig:
+        huge = b"*1\r\n$60000000\r\n" + b"x" * 8_000_000
+        assert await ends(rig.address, huge) == b"-ERR a string of 60000000 bytes\r\n"
+
+
+async def test_hundreds_of_malformed_commands_are_cut_short_and_hold_nobody_up(tmp_path):
+    async with courier(tmp_path) as rig, anyio.create_task_group() as tasks:
+        for _ in range(4):
+            tasks.start_soon(ends, rig.address, b"*1\r\n$4\r\nNOPE\r\n" * 40_000)
+        await anyio.sleep(0.05)
+        start = time.monotonic()
         assert await Client(rig.address).say("PING") == "+PONG\r\n"
+        assert time.monotonic() - start < 0.2
+        heard = await ends(rig.address, b"*1\r\n$4\r\nNOPE\r\n" * 900)
+        assert 1 <= heard.count(b"-ERR") <= 40
+
+
+async def test_commands_that_are_never_whole_share_a_bound_of_memory(tmp_path):
+    async with courier(tmp_path, leg_bytes=100_000) as rig:
+        half = b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$1\r\na\r\n$1\r\nb\r\n$60000\r\n" + b"x" * 50_000
+        first = await sockets.dial(rig.address)
+        await first.write(half)
+        await until(lambda: rig.courier.fronts["resp"].room.bytes > 50_000)
+        assert await ends(rig.address, half) == b"-BUSY 1000\r\n"
+        first.close()
+        await until(lambda: not rig.courier.fronts["resp"].room.bytes)
 
 
 async def test_a_request_sent_once_more_is_taken_on_once(tmp_path):
@@ -251,7 +316,8 @@
 
 async def test_two_next_hops_of_other_partners_are_never_called(tmp_path):
     hop = HttpStandIn()
-    async with standing(hop) as address, courier(tmp_path, hops=[(address, "s-2", 2)]) as rig:
+    hops = [("127.0.0.1:1", "s-1", 1)]
+    async with standing(hop) as address, courier(tmp_path, hops=[*hops, (address, "s-2", 2)]) as rig:
         await Client(rig.address).enqueue(dest=1, for_ms=200)
         await anyio.sleep(0.4)
         assert not hop.requests
