Forget next hops, endpoints, links and queues that are gone once nothing is out or owed

Descriptors were ruled out (106, 102, 104, 109).

Branch.clear named its own branch, so that only the cyclic collector freed it.

Kept: told waits that still bind, endpoints with a call or a probe out, and what an endpoint taught until a usable successor is there and 10 s (or the time to get warm) have passed.

--- a/pinspread/amqp/broker.py
+++ b/pinspread/amqp/broker.py
@@ -65,6 +65,14 @@
         if link is not None and not link.waiters:
             link.drop("not needed any more")
 
+    def forget(self, hop: NextHop):
+        """It is gone: its connection ends with the last publish that is out on it."""
+        link = self.links.pop(hop.id, None)
+        self.dialling.pop(hop.id, None)
+        if link is not None:
+            link.gone = True
+            link.end_if_unused()
+
     def _seconds_to(self, at_us):
         return max(0, at_us - self.clock.now()) / 1_000_000
 
@@ -120,6 +128,7 @@
         self.waiters = {}  # delivery tag -> _Waiter
         self.published = 0
         self.lost = ""
+        self.gone = False  # not listed any more
         self.heartbeat_s = 0
         self.unblocked = anyio.Event()
         self.unblocked.set()
@@ -264,6 +273,12 @@
                 waiter.end(Verdict.OK)
             else:
                 waiter.end(Verdict.ERROR, "nack")
+        self.end_if_unused()
+
+    def end_if_unused(self):
+        """Nothing is out on it, and nothing more will go there."""
+        if self.gone and not self.waiters and not self.lost:
+            self.drop("gone from the list")
 
     def drop(self, why):
         """The connection is over: what was written in full may have run, the rest never did."""
--- a/pinspread/amqp/front.py
+++ b/pinspread/amqp/front.py
@@ -9,6 +9,7 @@
 from hashlib import blake2b
 from itertools import count
 from secrets import token_hex
+from weakref import WeakValueDictionary
 
 import anyio
 import anyio.lowlevel
@@ -53,7 +54,8 @@
         self.courier = courier
         self.room = room or Room(courier.clock)
         self.heartbeat_s = heartbeat_s
-        self.queues = {}
+        # Danger: clients name queues of their own; one that holds and serves nothing goes by itself.
+        self.queues = WeakValueDictionary()
         self.sessions = set()
 
     async def run(self, sock):
@@ -84,12 +86,16 @@
 
     def queue(self, name):
         """The queue of that name, made at first sight."""
-        return self.queues.setdefault(name, EndQueue(name))
+        queue = self.queues.get(name)
+        if queue is None:
+            queue = self.queues[name] = EndQueue(name)
+        return queue
 
     async def notify(self, transaction: Transaction, final: Final):
         """Queue the end; returns when a consumer has acknowledged it."""
         end = End(transaction.id, final)
-        self.queue(transaction.reply["to"]).put(end)
+        queue = self.queue(transaction.reply["to"])
+        queue.put(end)
         await end.heard.wait()
 
 
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -109,18 +109,30 @@
 
     def learn(self, scope, next_hops):
         """News of the list of endpoints: whole or changes; a hop that is gone comes as not usable."""
-        if scope in (api.ListScope.FULL, api.ListScope.CACHED):
-            for hop in self.next_hops.values():
-                hop.usable = False
+        gone = set(self.next_hops) if scope in (api.ListScope.FULL, api.ListScope.CACHED) else set()
         entries = []
         for hop, state in next_hops:
+            old = self.next_hops.get(hop.id)
+            hop.usable = state is api.ListState.READY
+            if old is not None:
+                old.usable = hop.usable  # branches that are out still name that one
             self.next_hops[hop.id] = hop
             self.dests.add(hop.dest)
-            hop.usable = state is api.ListState.READY
             entries.append(api.ListEntry(hop.id, hop.dest, hop.zone, hop.kind, state, hop.weight))
-        for hop in self.next_hops.values():
-            if not hop.usable and hop.scheme in self.transports:
-                self.transports[hop.scheme].disconnect(hop)  # its idle connections serve nobody any more
+            if state is api.ListState.GONE:
+                gone.add(hop.id)
+            else:
+                gone.discard(hop.id)
+                if not hop.usable and hop.scheme in self.transports:
+                    self.transports[hop.scheme].disconnect(hop)  # idle connections serve nobody any more
+        for id_ in gone:
+            # Danger: next hops are replaced all day under new ids; what each leaves would fill the memory.
+            hop = self.next_hops.pop(id_)
+            hop.usable = False
+            if hop.scheme in self.transports:
+                self.transports[hop.scheme].forget(hop)
+        now_us = self.clock.now()
+        self.told_us = {line: at_us for line, at_us in self.told_us.items() if at_us > now_us}
         self.post(api.ListChanged(scope, entries))
 
     def post(self, event):
@@ -173,8 +185,9 @@
             if not self.stopping:
                 self.tasks.start_soon(self._probe, self.next_hops[action.endpoint], now_us)
         elif kind is api.Disconnect:
-            hop = self.next_hops[action.endpoint]
-            self.transports[hop.scheme].disconnect(hop)
+            hop = self.next_hops.get(action.endpoint)
+            if hop is not None:  # else it is gone, and its connections with it
+                self.transports[hop.scheme].disconnect(hop)
         elif kind is api.Subscribe:
             self.subscribe()
 
@@ -231,7 +244,7 @@
         """Why nothing may go to a next hop at present, whatever it is."""
         if self.stopping:
             return "shutting down"
-        if not self.next_hops[hop.id].usable:
+        if not hop.usable:
             return "drains or is gone"
         if self.told_us.get(self._line(hop), 0) > self.clock.now():
             return "told to wait"
@@ -240,6 +253,7 @@
     def _branch_ended(self, branch, outcome: Outcome):
         transaction, now_us = branch.transaction, self.clock.now()
         del self.branches[transaction.number, branch.number]
+        branch.clear = branch.heed = None  # they name it: without them it is freed at once
         self._heed(branch.next_hop, outcome.wait_us, now_us)
         was_open = transaction.number in self.open
         log(
--- a/pinspread/core/ports.py
+++ b/pinspread/core/ports.py
@@ -17,6 +17,9 @@
     def disconnect(self, next_hop: NextHop) -> None:
         """Close idle connections to it."""
 
+    def forget(self, next_hop: NextHop) -> None:
+        """It is gone: keep nothing of it once nothing is out."""
+
 
 class Discovery(Protocol):
     """Tells the core of next hops, by its `learn`."""
--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -64,6 +64,7 @@
 CROWD_GAIN = 0.12  # weight of the newest call in it, and of the newest refusal in what refusals tell
 ROUTE_SPREAD = 0.3  # what fees and handshakes must outweigh: a limit's room, spread over senders by chance
 DRAINED = 0.6  # share of a kind's refusals with little left of the limit, from which they count against it
+GONE_KEPT_NS = 10 * SECOND  # what an endpoint taught stays for so long after it is gone, for its successor
 CREEP = 1.0  # calls a second, over all senders, to a cold destination that nothing is known of
 
 
@@ -134,6 +135,7 @@
         if event.scope in (api.ListScope.FULL, api.ListScope.CACHED):
             for endpoint in self.endpoints.values():
                 endpoint.usable = False
+                endpoint.gone_ns = endpoint.gone_ns or self.now
         for entry in event.entries:
             endpoint = self.endpoints.get(entry.endpoint)
             if endpoint is None:
@@ -148,6 +150,22 @@
                 self.endpoints[entry.endpoint] = destination.endpoints[entry.endpoint] = endpoint
             else:
                 endpoint.update(entry)
+                gone = entry.state is api.ListState.GONE
+                endpoint.gone_ns = (endpoint.gone_ns or self.now) if gone else 0
+        self.forget()
+
+    def forget(self):
+        """Drop endpoints that are gone once nothing is out there and what they taught has been passed on."""
+        # Danger: endpoints are replaced all day under new ids, and each event would pass over all there ever
+        # were. It could hurt where one comes back under its old id: it starts as a new one, and inherits.
+        kept_ns = max(self.settings.cold_ns, GONE_KEPT_NS)
+        for endpoint in list(self.endpoints.values()):
+            if not endpoint.gone_ns or self.now - endpoint.gone_ns <= kept_ns:
+                continue
+            heirs = any(e.usable for e in endpoint.destination.endpoints.values())
+            busy = endpoint.calls or endpoint.probing or endpoint.line.told_ns > self.now
+            if heirs and not busy:
+                del self.endpoints[endpoint.id], endpoint.destination.endpoints[endpoint.id]
 
     def inherit(self, endpoint):
         """A new endpoint starts with what its destination has taught, and in the outage that it is in."""
--- a/pinspread/net/http.py
+++ b/pinspread/net/http.py
@@ -159,6 +159,9 @@
 
     def keep(self, hop: NextHop, connection: Connection):
         """Put back a connection after a whole exchange."""
+        if not hop.usable:
+            connection.close()  # nothing more goes there
+            return
         connection.idle_us = self.clock.now()
         self.idle.setdefault(hop.id, []).append((hop.address, connection))
 
@@ -177,7 +180,10 @@
                     good.append((address, connection))
                 else:
                     connection.close()
-            self.idle[id_] = good
+            if good:
+                self.idle[id_] = good
+            else:
+                del self.idle[id_]
 
     async def run(self):
         """Sweep until cancelled."""
@@ -209,7 +215,7 @@
             # Danger: whatever its first line says but 200, an answer that is spoilt proves nothing. The call
             # may have run, and a payment that went again would take effect twice. A wait that it told binds.
             verdict = Verdict.ERROR if isinstance(error, ValueError) else Verdict.RESET
-            return Outcome(verdict, state.wait_us, note=f"spoilt: {error}"[:100])
+            return Outcome(verdict, state.wait_us, note=str(error)[:100])
         finally:
             if state.connection is not None:
                 state.connection.close()
@@ -311,6 +317,8 @@
         """Close idle connections to it."""
         self.pool.disconnect(hop)
 
+    forget = disconnect
+
 
 class _Call:
     __slots__ = ("connection", "wait_us", "written")
--- a/pinspread/state.py
+++ b/pinspread/state.py
@@ -95,6 +95,7 @@
         "errors",
         "failed",
         "first_ns",
+        "gone_ns",
         "heard_ns",
         "id",
         "kind",
@@ -138,6 +139,7 @@
         self.cold_ns = 0  # since when it is taken to be cold; 0: it is not
         self.base = 0.0  # the most delivered there lately, calls a second
         self.next_ns = 0
+        self.gone_ns = 0  # since when the list does not have it any more; 0: it has
         self.rank = rank  # this sender's order among endpoints that are as good
         self.update(entry)
 
--- a/tests/test_amqp_broker.py
+++ b/tests/test_amqp_broker.py
@@ -12,6 +12,7 @@
 from standins import AmqpClient, Broker, Client, HttpStandIn, courier, own_address, standing, until
 
 from pinspread.config import application
+from pinspread.interface import ListState
 
 PAYMENTS, PARTNERS = 3000, 20
 
@@ -66,6 +67,20 @@
         assert not rig.courier.told_us
 
 
+async def test_a_broker_that_is_gone_is_forgotten_with_the_last_publish_that_is_out(tmp_path):
+    broker = Broker(lambda broker, id_: "wait")
+    async with standing(broker) as address, courier(tmp_path) as rig:
+        transport = rig.courier.transports["amqp"]
+        rig.learn(address, "b", 1, "amqp")
+        await Client(rig.address).enqueue(id_="p1")
+        await until(lambda: broker.effects == ["p1"])
+        rig.learn(address, "b", 1, "amqp", state=ListState.GONE)
+        assert not transport.links and not transport.dialling and broker.links
+        for wire in broker.links:
+            await wire.send(commands.Basic.Ack(1, False), 1)
+        await until(lambda: not rig.courier.ids and not broker.links)
+
+
 async def test_a_payment_cut_short_before_its_last_byte_never_ran_and_goes_again(tmp_path):
     broker = Broker()
     async with standing(broker) as address, courier(tmp_path, hops=[(address, "b", 1, "amqp")]) as rig:
--- a/tests/test_amqp_front.py
+++ b/tests/test_amqp_front.py
@@ -239,3 +239,17 @@
         with anyio.fail_after(2):
             method, _, _ = await client.next()
         assert isinstance(method, commands.Connection.Close) and method.reply_code == frames.RESOURCE_ERROR
+
+
+async def test_queues_that_hold_nothing_and_serve_nobody_are_forgotten(tmp_path):
+    async with courier(tmp_path) as rig:
+        queues = rig.courier.fronts["amqp"].queues
+        client = await AmqpClient.open(rig.amqp)
+        await client.publish("m1", for_ms=100)
+        await until(lambda: "ends" in queues)  # it holds an end that nobody has heard yet
+        for n in range(5):
+            await client.ask(commands.Queue.Declare(queue=f"q{n}"))
+        await client.consume()
+        await client.end()
+        client.close()
+        await until(lambda: not queues)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -347,6 +347,28 @@
     assert desk.turn(api.ListChanged(api.ListScope.FAILED, [])) == []
 
 
+def test_endpoints_that_are_gone_are_forgotten_once_nothing_is_out_and_an_heir_is_there():
+    desk = Desk()
+    known = desk.sender.endpoints
+
+    def listed(name, state, after=0):
+        desk.turn(api.ListChanged(api.ListScope.DELTA, [api.ListEntry(name, 1, state=state)]), after=after)
+
+    desk.take()
+    listed("a", api.ListState.GONE)
+    listed("a", api.ListState.GONE, after=11 * SECOND)
+    assert "a" in known  # a call is out, and nobody has learned from it
+    listed("b", api.ListState.READY)
+    assert "a" in known
+    desk.end(1, OK)
+    listed("c", api.ListState.READY, after=SECOND)
+    assert list(known) == list(desk.bucket.endpoints) == ["b", "c"]
+    listed("b", api.ListState.GONE)
+    listed("b", api.ListState.READY, after=SECOND)  # back again in time
+    listed("c", api.ListState.READY, after=11 * SECOND)
+    assert list(known) == ["b", "c"]
+
+
 def test_rule_4_outage_leaves_single_trials_spaced_by_growing_waits():
     desk = Desk()
     desk.take(4)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -424,6 +424,30 @@
         await until(lambda: told.requests[-1][2] == "/api/targets?watch=1&from=8")
 
 
+async def test_next_hops_that_are_replaced_all_day_leave_nothing_behind(tmp_path, monkeypatch):
+    from pinspread import decide
+
+    monkeypatch.setattr(decide, "GONE_KEPT_NS", 0)
+    hop = HttpStandIn()
+    async with standing(hop) as address, courier(tmp_path, coldNs=0) as rig:
+        core, client = rig.courier, Client(rig.address)
+        core.sender.settings.cold_ns = 0
+        for n in range(6):  # each at the address of the one before
+            rig.learn(address, f"s-{n}")
+            await client.enqueue(id_=f"m{n}")
+            await until(lambda: not core.ids and hop.open)
+            core.told_us[f"s-{n}"] = core.clock.now()
+            rig.learn(address, f"s-{n}", state=ListState.GONE)
+            await until(lambda: not hop.open)
+        core.told_us[1] = waits = core.clock.now() + 10**9
+        rig.learn(address, "last")
+        await until(lambda: not core.inbox)
+        assert list(core.next_hops) == list(core.sender.endpoints) == ["last"]
+        assert list(core.sender.destinations[1].endpoints) == ["last"]
+        assert core.told_us == {1: waits}  # what still binds is kept
+        assert not core.transports["http"].pool.idle and hop.connections == 6
+
+
 class Process:
     """A courier as the platform starts it."""
 
