Take lost calls and reset connections for what they are, no outage by themselves

Destination 1 fell from 20 calls a second to 2. Ruled out: a real outage (answers overlap the lost calls), the loop (time-outs end within 1 ms), descriptors (76 of 384).

Faulty, decide.py: `opens` let a look, or a call lost before it, shut a destination until its time-out (1 to 2.5 s); `observe` booked two failures in a row, resets included, as an outage with a 9 s ramp (`errors` was true from one), and let a reset speak for the siblings.

Now, who has answered in the last 2 s is looked at again once an answer is overdue; a reset speaks for its connection; a short outage needs three failures in a row that were more than that. Connection.end shuts down and leaves the close to its task: closed there, a reused descriptor number would lose another task's wait (by reading anyio's wait_readable). The log tells how long a branch's connection had been idle.

--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -264,6 +264,7 @@
             verdict=outcome.verdict.name,
             took_us=now_us - branch.started_us,
             wait_us=outcome.wait_us,
+            idle_us=outcome.idle_us,
             note=outcome.note,
         )
         if was_open and outcome.verdict is api.Verdict.OK:
--- a/pinspread/core/transactions.py
+++ b/pinspread/core/transactions.py
@@ -66,6 +66,7 @@
     wait_us: int = 0  # told with a busy answer
     over: bool = False  # the next hop says that nothing is owed any more
     note: str = ""
+    idle_us: int = -1  # how long its connection had been idle; -1: it was new
 
 
 NEVER_RAN = (Verdict.FULL, Verdict.CONNECT_FAILED, Verdict.MOOT)  # what proves that a branch never ran
--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -51,6 +51,8 @@
 RESTS_KEPT = 256  # keys at rest that are kept before those rested are dropped
 FEW = 4  # senders that need not mind their sum; more share idle connections and looks at outages
 HOLD_SPARE = 0.05  # share of the places for held messages that is kept free for what comes in
+LATELY_NS = 2 * SECOND  # since its last success, an endpoint with overdue calls may be looked at again
+FEW_ERRORS = 3  # failures in a row, but for time-outs and resets, from which a short outage was one
 SILENCE_NS = 300 * MS  # least silence, with calls out, that makes an endpoint doubtful
 WEIGHT_TRUST = 0.67  # listed weights may be rough; what they promise is discounted
 RAMP_SAFETY = 0.8  # share of the permitted push that a cold destination gets: arrivals vary by chance
@@ -366,18 +368,21 @@
                 self.unused |= {e: True for e in self.endpoints.values() if e.kind == endpoint.kind}
             elif share < ROOMY:
                 self.closing.discard(endpoint.kind)
-        if verdict is api.Verdict.TIMEOUT and endpoint.served_ns > sent_ns and not endpoint.down:
+        lone = verdict in (api.Verdict.TIMEOUT, api.Verdict.RESET)  # a call or a connection, at first
+        if lone and endpoint.served_ns > sent_ns and not endpoint.down:
             # Danger: single calls get lost while the rest is answered as ever. Such a time-out is no
             # outage and no slowness. It could hurt in the first moments of a hang, by one time-out at most.
             return
         endpoint.doubt += DOUBT_WEIGHT * (failed - endpoint.doubt)
         endpoint.failed = failed
-        endpoint.errors |= failed and verdict is not api.Verdict.TIMEOUT
         if failed:
+            endpoint.errors += not lone
             # Danger: a sender that calls once in many seconds would find each endpoint of a destination out
             # by itself, with calls that are lost and push what comes back. Outages mostly take all: a failure
             # speaks for those not heard of since. It could hurt where one endpoint fails among well ones.
-            for sibling in self.siblings(endpoint):
+            # A reset speaks for its connection only: where all are out, the next ones are refused, or silent.
+            alike = self.siblings(endpoint) if verdict is not api.Verdict.RESET else ()
+            for sibling in alike:
                 if sibling is not endpoint and sibling.served_ns < sent_ns:
                     sibling.doubt += DOUBT_WEIGHT * (1 - sibling.doubt)
                     if sibling.doubt > DOUBT and not sibling.down:
@@ -399,10 +404,12 @@
             aged = (self.now - endpoint.served_ns) / (RATE_SPAN_S * SECOND)
             room = line.left / 4 if line.limit else 0.0
             line.rate *= 1 + min(1.0, max(PACE_GAIN, aged, room))
-        # Danger: calls get lost one by one, and two in a row look like an outage with its long ramp. Where
-        # only time-outs lay between two successes close together it was none: what hangs answers nothing.
-        lossy = not endpoint.errors and self.now - endpoint.served_ns < SHORT_OUTAGE * self.settings.cold_ns
-        endpoint.errors = False
+        # Danger: calls and connections get lost one by one, and two in a row look like an outage with a long
+        # ramp. Where only such, or a lone error or two, lay between two successes close together it was none:
+        # what hangs answers nothing, and what is down refuses all.
+        short = self.now - endpoint.served_ns < SHORT_OUTAGE * self.settings.cold_ns
+        lossy = endpoint.errors < FEW_ERRORS and short
+        endpoint.errors = 0
         endpoint.served_ns = self.now
         if not endpoint.mean_ns:
             endpoint.mean_ns, endpoint.dev_ns = float(elapsed_ns), elapsed_ns / 2
@@ -556,18 +563,34 @@
         if self.pace(line):
             at = max(at, line.next_ns)
         if endpoint.down:
-            looking = any(e.down and (e.calls or e.probing) for e in self.siblings(endpoint))
-            return NEVER if looking else max(at, endpoint.trial_ns)
+            looks = max((self.look_over(e) for e in self.siblings(endpoint) if e.down), default=0)
+            return max(at, endpoint.trial_ns, looks)
         if endpoint.cold_ns:
             at = max(at, endpoint.next_ns)
         if len(endpoint.calls) > 1:  # a second call tells one lost on the way from silence
             # Danger: a hung or silent endpoint would take slot after slot until the first time-out.
             oldest = next(iter(endpoint.calls)).sent_ns
-            quiet = max(SILENCE_NS, endpoint.mean_ns + TIMEOUT_SPREAD * endpoint.dev_ns)
-            if self.now - max(endpoint.heard_ns, oldest) > quiet:
-                return NEVER
+            if self.now - max(endpoint.heard_ns, oldest) > self.quiet(endpoint):
+                at = max(at, self.look_over(endpoint))
         return at
 
+    def quiet(self, endpoint):
+        """How long it may take to answer while all is well."""
+        return max(SILENCE_NS, endpoint.mean_ns + TIMEOUT_SPREAD * endpoint.dev_ns)
+
+    def look_over(self, endpoint):
+        """From when its look no longer keeps others back: a look is its newest call out, or a probe."""
+        # Danger: where calls get lost one by one, a look that is lost, or a call lost before, would keep an
+        # endpoint shut that answers well, until its time-out. Who has answered lately is looked at again as
+        # soon as an answer is overdue. It could hurt in a hang's first seconds, by a few slots.
+        if endpoint.probing:
+            return NEVER
+        if not endpoint.calls:
+            return 0
+        if self.now - endpoint.served_ns > LATELY_NS:
+            return NEVER
+        return next(reversed(endpoint.calls)).sent_ns + int(self.quiet(endpoint))
+
     def message_opens(self, message):
         """From when a message may be sent: its backoff, its key's turn and rest, the bucket."""
         if message.attempts and message.destination.tokens - message.destination.retries_out < 1:
--- a/pinspread/net/http.py
+++ b/pinspread/net/http.py
@@ -203,6 +203,11 @@
     async def send(self, branch: Branch) -> Outcome:
         """Run one branch; what went wrong before its last byte was written proves that it never ran."""
         state = _Call()
+        outcome = await self._send(branch, state)
+        outcome.idle_us = state.idle_us
+        return outcome
+
+    async def _send(self, branch, state):
         try:
             with anyio.move_on_after(self._seconds_to(branch.ends_us())):
                 return await self._call(branch, state)
@@ -226,6 +231,8 @@
     async def _open(self, hop, state):
         """A connection that is quiet, from the pool or new."""
         state.connection = self.pool.take(hop)
+        if state.connection is not None:
+            state.idle_us = self.clock.now() - state.connection.idle_us
         if state.connection is None:
             with anyio.fail_after(self.dial_us / 1_000_000):
                 state.connection = await dial(hop.address)
@@ -321,10 +328,11 @@
 
 
 class _Call:
-    __slots__ = ("connection", "wait_us", "written")
+    __slots__ = ("connection", "idle_us", "wait_us", "written")
 
     def __init__(self):
         self.connection = None
+        self.idle_us = -1
         self.written = False  # its last byte
         self.wait_us = 0  # told in a head, whatever became of the rest
 
--- a/pinspread/net/sockets.py
+++ b/pinspread/net/sockets.py
@@ -275,10 +275,13 @@
             pass
 
     def end(self):
-        """Close it under a task that may be waiting for it: that one sees it lost."""
-        if self.sock.fileno() >= 0:
-            anyio.notify_closing(self.sock)
-            self.sock.close()
+        """End it under a task that may be waiting for it: that one sees the other side's end, and closes."""
+        # Danger: closed here, its number goes to another socket before that task has left its wait, and the
+        # task takes the other one's wait away with its own: a call there would never see its answer.
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
 
     def close(self):
         self.sock.close()
--- a/pinspread/state.py
+++ b/pinspread/state.py
@@ -130,7 +130,7 @@
         self.counted_ns = now
         self.doubt = 0.0
         self.down = False
-        self.errors = False  # a failure since its last success was more than a time-out
+        self.errors = 0  # failures since its last success that were more than a time-out or a reset
         self.failed = False  # its latest outcome was a failure
         self.trials = 0
         self.trial_ns = 0
