Give slots back sooner where calls get lost among answered ones

Ruled out: slow endpoints (answered calls as fast as before), outages (each time-out overlaps answers).

Faulty, decide.py `timeout`: no time-out under 1 s, times 1.5 to 2.5 for payments, whatever the slots.

--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -44,6 +44,8 @@
 LATENCY_GAIN = 0.125  # weight of the newest latency in the mean, half of it again in the deviation
 TIMEOUT_SPREAD = 4  # time-out: twice (mean + this many deviations)
 LEAST_TIMEOUT_NS = SECOND  # no time-out under this: a jam must not turn into lost calls
+LOST = 0.08  # share of lost calls from which, where slots are short, time-outs are as learned only
+LOST_GAIN = 0.05  # weight of the newest call in it
 UNSAFE_STRETCH = 2.5  # longer time-outs of unsafe messages, which a time-out loses
 CROWDED_STRETCH = 1.5  # and where half the slots are taken: what hangs must not take them all
 MOST_TIMEOUT_NS = 3 * SECOND  # no time-out over this, unless an endpoint's mean latency is over half of it
@@ -96,6 +98,7 @@
         self.crowded = {}  # kind -> share of calls that were first failures to connect
         self.drained = {}  # kind -> share of refusals that came with little left of the limit
         self.closing = set()  # kinds whose tables of connections seem full
+        self.lost = 0.0  # share of calls that got lost while later ones were answered
         self.unused = {}  # endpoints whose last call out ended in this turn
 
     def handle(self, now_ns, events):
@@ -368,6 +371,10 @@
                 self.unused |= {e: True for e in self.endpoints.values() if e.kind == endpoint.kind}
             elif share < ROOMY:
                 self.closing.discard(endpoint.kind)
+        if not failed:
+            endpoint.answered_ns = max(endpoint.answered_ns, sent_ns)
+        if not failed or verdict is api.Verdict.TIMEOUT:
+            self.lost += LOST_GAIN * ((failed and endpoint.answered_ns > sent_ns) - self.lost)
         lone = verdict in (api.Verdict.TIMEOUT, api.Verdict.RESET)  # a call or a connection, at first
         if lone and endpoint.served_ns > sent_ns and not endpoint.down:
             # Danger: single calls get lost while the rest is answered as ever. Such a time-out is no
@@ -789,7 +796,11 @@
             roomy = 2 * self.calls_out < self.settings.calls_out
             stretch = UNSAFE_STRETCH if roomy else CROWDED_STRETCH
         learned = 2 * (endpoint.mean_ns + TIMEOUT_SPREAD * endpoint.dev_ns) or message.rule.aim_ns
-        wait = int(max(LEAST_TIMEOUT_NS, learned) * stretch * endpoint.stretch)
+        # Danger: where calls get lost one by one, those that wait for their time-outs hold all slots. It
+        # could hurt where a partner's answers overtake each other by more than its latencies have shown.
+        lossy = self.lost > LOST and 2 * self.calls_out >= self.settings.calls_out
+        least = SILENCE_NS if lossy else LEAST_TIMEOUT_NS
+        wait = int(max(least, learned) * stretch * endpoint.stretch)
         # Danger: a jam's latencies and time-outs lengthen each other's waits, until calls that hang for tens
         # of seconds hold all slots. It could hurt where a partner suddenly takes longer than the cap.
         wait = min(wait, max(MOST_TIMEOUT_NS, int(2 * endpoint.mean_ns)))
--- a/pinspread/state.py
+++ b/pinspread/state.py
@@ -83,6 +83,7 @@
     """What one endpoint has shown: list state, outcomes, latencies, delivered rate."""
 
     __slots__ = (
+        "answered_ns",
         "base",
         "calls",
         "cold_ns",
@@ -126,6 +127,7 @@
         self.heard_ns = now
         self.first_ns = now
         self.served_ns = 0  # when the last success came
+        self.answered_ns = 0  # when the newest call was sent that succeeded
         self.count = 0.0  # successes, fading
         self.counted_ns = now
         self.doubt = 0.0
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -507,6 +507,28 @@
     assert desk.sent(desk.turn(after=SECOND)) == []  # it has not answered for long: one look, to its end
 
 
+def test_lost_calls_among_answered_later_ones_shorten_the_wait_where_slots_are_short():
+    def waits(verdict):
+        desk = Desk(endpoints=(("a", 1), ("b", 2)), calls_out=4)
+        for _ in range(4):
+            desk.take(2)
+            desk.end(desk.ids, after=50 * MS)  # sent later, or with it: only the one sent later counts
+            desk.take()
+            desk.end(desk.ids, after=50 * MS)
+            desk.end(desk.ids - 2, verdict, after=SECOND, done=True)
+        free = next(a.timeout_ns for a in desk.take() if type(a) is api.Send)
+        short = next(a.timeout_ns for a in desk.take(2, destination=2) if type(a) is api.Send)
+        desk.take()
+        return free, short, desk.sender.timeout(next(iter(desk.sender.messages.values())), endpoint(desk))
+
+    def endpoint(desk):
+        return desk.sender.endpoints["a"]
+
+    free, _, short = waits(TIMEOUT)
+    assert free >= SECOND > short >= decide.SILENCE_NS
+    assert waits(OK)[2] >= SECOND  # nothing lost
+
+
 def test_resets_speak_for_connections_and_leave_no_ramp_behind():
     desk = Desk(endpoints=(("a", 1), ("b", 1)))
     for _ in range(2):  # both have answered
