Let callers that asked once and stay give way before their clients can open no more

Ruled out: the loop (branches went on), the module (nothing was held), the kernel's queue (not full then).

Faulty: net/sockets.py Room.make gave way only when the room was full, to legs idle for 2 s, whether they had handed anything in or not; LONG_IDLE_US of 5 s.

Now legs that hand messages in take a quarter of the descriptors, those that never did go first, all after 0.1 s if need be; idle legs end after 2.1 s.

--- a/pinspread/net/front.py
+++ b/pinspread/net/front.py
@@ -90,7 +90,7 @@
                     leg.begun(self.courier.clock.now())
                     return True, size, wrong
                 self.room.hold(leg, 0)
-                good, answer = self._command(connection, arguments)
+                good, answer = self._command(connection, leg, arguments)
                 answers += answer
                 buffer.consume(size)
             except resp.ProtocolError as error:
@@ -103,12 +103,14 @@
                 wrong += 1
         return True, 1, wrong
 
-    def _command(self, connection, arguments):
+    def _command(self, connection, leg, arguments):
         """Whether it was well-formed, and its answer."""
         name = bytes(arguments[0][:16]).upper()
         try:
             if name == b"ENQUEUE":
-                return True, self._enqueue(connection, *resp.enqueue(arguments))
+                answer = self._enqueue(connection, *resp.enqueue(arguments))
+                leg.asked = True
+                return True, answer
             if name == b"PING" and sum(map(len, arguments)) < MOST_PING:
                 return True, b"+PONG\r\n" if len(arguments) == 1 else _bulk(arguments[1])
             raise resp.CommandError(f"unknown command {name!r}")
--- a/pinspread/net/sockets.py
+++ b/pinspread/net/sockets.py
@@ -11,9 +11,9 @@
 READ_SIZE = 1 << 16
 LEAST_BUFFER = 1 << 13
 FIRST_US = 2_200_000  # for a first command, or the rest of a begun one; a caller leg is owed an end in 3 s
-SILENT_US = 50_000  # after which one that has said nothing gives way to newcomers
-IDLE_US = 2_000_000  # and one that waits for its next command
-LONG_IDLE_US = 5_000_000  # after which it is closed though there is room
+SILENT_US = 100_000  # after which one whose turn it is to speak gives way to newcomers, if it must
+IDLE_US = 2_000_000  # before which one that has handed messages in is the last to give way
+LONG_IDLE_US = 2_100_000  # after which it is closed though there is room
 SWEEP_S = 0.25
 FULL_S = 0.01
 PART_S = 3.0
@@ -40,12 +40,13 @@
 class Leg:
     """What the room knows of one caller leg."""
 
-    __slots__ = ("bytes", "connection", "half", "kept", "since_us", "spoke", "word")
+    __slots__ = ("asked", "bytes", "connection", "half", "kept", "since_us", "spoke", "word")
 
     def __init__(self, connection, now_us):
         self.connection = connection
         self.since_us = now_us  # since when it waits for its next command, or that for its rest
         self.spoke = False  # whether a command of it has been answered well
+        self.asked = False  # whether it has handed a message in
         self.half = False  # whether a command has begun and is not whole
         self.kept = False  # its protocol tells by itself when the other side is gone
         self.bytes = 0  # held for it beyond what each leg has
@@ -69,6 +70,7 @@
     def __init__(self, clock, most=512, most_bytes=8 << 20):
         self.clock = clock
         self.most = most
+        self.most_asked = most * 2 // 5  # legs that hand messages in: a quarter of the descriptors
         self.most_bytes = most_bytes
         self.bytes = 0
         self.legs = {}  # connection -> Leg, in the order in which they came
@@ -95,20 +97,26 @@
 
     def make(self) -> bool:
         """Whether there is room for another leg; one that serves nobody gives way."""
-        if len(self.legs) < self.most:
+        legs = self.legs.values()
+        if len(legs) < self.most_asked:
             return True
-        # Danger: callers that say nothing, or asked once and stay, would keep the usual ones out.
+        # Danger: callers that say nothing, or asked once and stay, would keep the usual ones out. Those may
+        # hold a third of the descriptors: at that they can open no more, and their requests fail unseen.
         now_us = self.clock.now()
-        spare = None
-        for leg in self.legs.values():
-            idle_us = now_us - leg.since_us
-            least_us = IDLE_US if leg.spoke else SILENT_US
-            if not leg.kept and idle_us > least_us and leg.connection.quiet():
-                if spare is None or (leg.spoke, leg.since_us) < (spare.spoke, spare.since_us):
-                    spare = leg
-        if spare is not None:
-            self._end(spare, "room for others")
-        return spare is not None
+        asked = [leg for leg in legs if leg.asked]
+        full = len(legs) >= self.most
+        if len(asked) < self.most_asked and not full:
+            return True
+        spare = asked if len(asked) >= self.most_asked else legs
+        idle = [leg for leg in spare if not leg.kept and now_us - leg.since_us > SILENT_US]
+        # First those that never handed anything in, then those that have waited longest for their turn.
+        while idle:
+            leg = min(idle, key=lambda leg: (leg.asked and now_us - leg.since_us < IDLE_US, leg.since_us))
+            if leg.connection.quiet():
+                self._end(leg, "room for others")
+                return True
+            idle.remove(leg)
+        return not full
 
     def sweep(self):
         """End the legs that keep what they began waiting, or have been idle for long."""
@@ -124,7 +132,7 @@
                 self._end(leg, "idle" if idle else "no command")
 
     def _end(self, leg, why):
-        log("leg_ended", why=why, legs=len(self.legs))
+        log("leg_ended", why=why, legs=len(self.legs), spoke=leg.spoke, asked=leg.asked)
         self.legs.pop(leg.connection, None)
         leg.connection.end()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -122,6 +122,19 @@
             connection.close()
 
 
+async def test_callers_that_ask_once_and_stay_give_way_before_they_can_open_no_more(tmp_path):
+    async with courier(tmp_path, legs=20) as rig:
+        room = rig.courier.fronts["resp"].room
+        pings = [Client(rig.address) for _ in range(3)]
+        for client in pings:
+            await client.say("PING")
+        for n in range(16):
+            assert await Client(rig.address).enqueue("status-update", id_=f"m{n}") == "+OK\r\n"
+            await anyio.sleep(0.02)
+        assert sum(leg.asked for leg in room.legs.values()) <= room.most_asked + 1 == 9
+        assert await pings[0].say("PING") == "+PONG\r\n"  # the room is not full: only those gave way
+
+
 @pytest.mark.parametrize(
     "said", [b"", b"*5\r\n$7\r\nENQ", b"*1\r\n$4\r\nPING\r\n*5\r\n$7\r\nENQ", b"*1\r\n$4\r\nPING\r\n"]
 )
