--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -283,6 +283,26 @@
         each.close()
 
 
+async def test_a_leg_that_is_ended_keeps_its_number_until_its_own_task_closes_it():
+    sock, address = listener()
+    theirs = await sockets.dial(address)
+    ours, seen = sockets.Connection(sock.accept()[0]), []
+
+    async def wait():
+        seen.append(await ours.read())
+        ours.close()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(wait)
+        await anyio.sleep(0.02)
+        number = ours.sock.fileno()
+        ours.end()
+        assert ours.sock.fileno() == number  # free now, another's wait on it would end with this one's
+    assert seen == [b""] and ours.sock.fileno() == -1
+    for each in (theirs, sock):
+        each.close()
+
+
 async def test_a_timed_out_payment_fails_and_its_connection_is_closed(tmp_path):
     hop, told = HttpStandIn(lambda request: late(30)), platform()
     async with standing(hop) as address, standing(told) as notices:
