Heed waits told to probes, ramp after every outage, and never spin behind a probe

Causes, read from the module's state at the moment: - decide.py `serve`: with the trial's time past and a probe or call out, a payment asked to be woken at now+1, again and again (51,653 turns in a second). Excluded: the couriers' bases and the trials, which were as meant; the listed rate, which was within 4% of the true one.

Now a probe's told wait goes to the module, a barred probe waits 160 ms (jittered), only a trial still to come wakes, and the ramp starts with the first success after an outage.

--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -306,7 +306,8 @@
         now_us = self.clock.now()
         self._heed(hop, outcome.wait_us, now_us)
         log("probe", hop=hop.id, verdict=outcome.verdict.name, note=outcome.note)
-        self.post(api.ProbeEnded(hop.id, outcome.verdict, (now_us - started_us) * 1000))
+        took_ns = (now_us - started_us) * 1000
+        self.post(api.ProbeEnded(hop.id, outcome.verdict, took_ns, outcome.wait_us * 1000))
 
     # --- ends -------------------------------------------------------------------------------------
 
--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -69,6 +69,7 @@
 ROUTE_SPREAD = 0.3  # what fees and handshakes must outweigh: a limit's room, spread over senders by chance
 DRAINED = 0.6  # share of a kind's refusals with little left of the limit, from which they count against it
 GONE_KEPT_NS = 10 * SECOND  # what an endpoint taught stays for so long after it is gone, for its successor
+MOOT_STEP = 2  # the step of the backoff after a probe that could not be sent: 160 ms in the middle
 CREEP = 1.0  # calls a second, over all senders, to a cold destination that nothing is known of
 
 
@@ -263,15 +264,7 @@
             call.endpoint.line.limit = event.limit_per_s
             call.endpoint.line.left = event.allowance_left
         if event.wait_ns:
-            # Danger: the messages of a bundle share a fate, yet each may be told a longer wait (rule 5).
-            line = call.endpoint.line
-            line.told_ns = max(line.told_ns, self.now + event.wait_ns)
-            if event.wait_ns > LONG_TOLD_NS:
-                # Danger: all who were told of a shutting come back in one instant, each with what it held,
-                # and push over what opens cold (rule 4). The told end is taken as an outage's end.
-                for endpoint in self.siblings(call.endpoint):
-                    endpoint.cold_ns = line.told_ns
-                    endpoint.next_ns = self.ramp_next(endpoint, self.random.random())
+            self.heed(call.endpoint, event.wait_ns)
         if call.fresh:
             call.fresh = False
             self.observe(call.endpoint, verdict, event.elapsed_ns, call.sent_ns, event.wait_ns)
@@ -308,6 +301,18 @@
         if stale or spent or not self.may_repeat(message, at):
             self.give_up(message)
 
+    def heed(self, endpoint, wait_ns):
+        """A wait was told, by a call or a probe: nothing goes to that line before it is over (rule 5)."""
+        # Danger: the messages of a bundle share a fate, yet each may be told a longer wait.
+        line = endpoint.line
+        line.told_ns = max(line.told_ns, self.now + wait_ns)
+        if wait_ns > LONG_TOLD_NS:
+            # Danger: all who were told of a shutting come back in one instant, each with what it held,
+            # and push over what opens cold (rule 4). The told end is taken as an outage's end.
+            for sibling in self.siblings(endpoint):
+                sibling.cold_ns = line.told_ns
+                sibling.next_ns = self.ramp_next(sibling, self.random.random())
+
     def enqueue(self, message):
         """Hold a message for its destination."""
         message.destination.queue[message.request] = message
@@ -426,12 +431,14 @@
             endpoint.dev_ns += LATENCY_GAIN * (abs(error) - endpoint.dev_ns)
         endpoint.stretch = max(1.0, endpoint.stretch / 2)
         if endpoint.down or shut:
+            # Danger: judged when the second success has taken the doubt, a long outage looks like a short
+            # one, since the first success is fresh: it would end without a ramp, in front of a cold partner.
+            endpoint.cold_ns = endpoint.cold_ns if lossy else self.now
             if endpoint.doubt > DOUBT:
                 endpoint.trial_ns = self.now  # one success among failures: look again at once
             else:
                 endpoint.down = False
                 endpoint.trials = 0
-                endpoint.cold_ns = endpoint.cold_ns if lossy else self.now
         else:
             endpoint.trials = 0
         if endpoint.cold_ns and self.now - endpoint.cold_ns > self.settings.cold_ns:
@@ -553,9 +560,14 @@
             endpoint.probed = True
             endpoint.trial_ns = self.now
         elif event.verdict is api.Verdict.FULL:
-            self.refused(endpoint, 0, self.now)
-        elif event.verdict is not api.Verdict.MOOT:
-            # Danger: a probe that was never sent tells nothing, least of all of an outage.
+            if event.wait_ns:
+                self.heed(endpoint, event.wait_ns)
+            self.refused(endpoint, event.wait_ns, self.now)
+        elif event.verdict is api.Verdict.MOOT:
+            # Danger: a probe that was never sent tells nothing, least of all of an outage; but asked for
+            # again at once, it is barred again at once, and the turn loop spins for as long as it is.
+            endpoint.trial_ns = max(endpoint.trial_ns, self.now + self.backoff(MOOT_STEP))
+        else:
             endpoint.doubt += DOUBT_WEIGHT * (1 - endpoint.doubt)
             self.mark_down(endpoint)
 
@@ -698,7 +710,10 @@
                 # probes find out; alone in the queue, unsafe ones go one by one, at the pace of trials.
                 safe = [m for m in ready if m.rule.effect is not api.Effect.ONCE]
                 if not safe and (endpoint.calls or endpoint.probing or endpoint.trial_ns > self.now):
-                    self.wake_ns = min(self.wake_ns, max(self.now + 1, endpoint.trial_ns))
+                    # Danger: with the trial's time past, a wake-up at once comes again and again until what
+                    # is out ends: the turn loop spins. That end is an event and wakes by itself.
+                    if endpoint.trial_ns > self.now:
+                        self.wake_ns = min(self.wake_ns, endpoint.trial_ns)
                     continue
                 if not safe and self.settings.may_probe and not endpoint.probed:
                     endpoint.probing = True
--- a/pinspread/interface.py
+++ b/pinspread/interface.py
@@ -218,6 +218,7 @@
     endpoint: EndpointId
     verdict: Verdict
     elapsed_ns: int
+    wait_ns: int = 0  # with FULL: the told wait, 0 where none is told
 
 
 @dataclass(slots=True)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -768,6 +768,62 @@
     assert not endpoint.down and endpoint.doubt == 0.4
 
 
+def wake_ups(desk, span, events=()):
+    """How often a sender asks to be woken in a span, each wake-up heeded as soon as it is due."""
+    count, end = 0, desk.now + span
+    actions = desk.sender.handle(desk.now, list(events))
+    while timers := [a for a in actions if type(a) is api.SetTimer]:
+        if desk.now + timers[-1].delay_ns > end or (count := count + 1) > 1000:
+            break
+        desk.now += timers[-1].delay_ns
+        actions = desk.sender.handle(desk.now, [api.TimerDue(timers[-1].tag)])
+    return count
+
+
+def test_a_payment_that_waits_for_a_probe_does_not_wake_the_sender_again_and_again():
+    desk = Desk(may_probe=True)
+    endpoint = desk.sender.endpoints["a"]
+    endpoint.doubt, endpoint.trial_ns = 0.4, desk.now - SECOND
+    for number in (1, 2):
+        taken = api.MessageTaken(number, UNSAFE, 1, desk.now + 20 * SECOND)
+        assert wake_ups(desk, SECOND, [taken]) <= 2
+    assert endpoint.probing
+
+
+def test_a_barred_probe_is_not_asked_for_again_at_once():
+    desk = Desk(may_probe=True)
+    desk.sender.endpoints["a"].doubt = 0.4
+    actions, probes = desk.take(cls=UNSAFE), 0
+    for _ in range(1000):  # a second in which each probe is barred within a millisecond
+        out = [a for a in actions if type(a) is api.Probe]
+        probes += len(out)
+        actions = desk.turn(*(api.ProbeEnded("a", api.Verdict.MOOT, 0) for _ in out), after=MS)
+    assert 2 <= probes <= 15
+
+
+def test_rule_5_a_wait_told_to_a_probe_binds_as_one_told_to_a_call():
+    desk = Desk(may_probe=True)
+    desk.sender.endpoints["a"].doubt = 0.4
+    desk.take(cls=UNSAFE)
+    told = api.ProbeEnded("a", FULL, 20 * MS, 2 * SECOND)
+    assert not desk.turn(told, after=20 * MS)
+    assert not desk.turn(after=1900 * MS)
+    assert desk.turn(after=200 * MS)
+
+
+def test_rule_4_an_outage_ends_with_a_ramp_though_its_second_success_comes_soon_after_the_first():
+    desk = Desk()
+    endpoint = desk.sender.endpoints["a"]
+    endpoint.down, endpoint.doubt, endpoint.errors = True, 0.9, 6
+    endpoint.served_ns = desk.now - 20 * SECOND
+    assert desk.sent(desk.take())
+    desk.end(1)
+    assert endpoint.down  # one success among failures
+    assert desk.sent(desk.take(after=50 * MS))
+    desk.end(2)
+    assert not endpoint.down and endpoint.cold_ns
+
+
 @pytest.mark.parametrize(
     ("cls", "attempts", "may_run", "answer"),
     [
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -628,3 +628,29 @@
     ended = subprocess.run(command, env=env, capture_output=True, timeout=10, text=True)
     sock.close()
     assert ended.returncode == 1 and ended.stderr.count("\n") == 1 and "pinspread: " in ended.stderr
+
+
+@pytest.mark.parametrize("barred", [True, False], ids=["told to wait", "a silent probe"])
+async def test_a_payment_behind_a_probe_leaves_the_loop_at_rest(tmp_path, barred):
+    async def silent():
+        await anyio.sleep(2)
+        return 200, [], b""
+
+    def answer(request):
+        if request[1] == "POST":
+            return 503, [], b""
+        return (429, [("Retry-After", "1.0")], b"") if barred else silent()
+
+    partner = HttpStandIn(answer)
+    async with standing(partner) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        client, turns = Client(rig.address), []
+        found = rig.courier.sender
+        await until(lambda: "s-1" in found.endpoints)
+        found.endpoints["s-1"].doubt = 0.4
+        handle = found.handle
+        found.handle = lambda now, events: turns.append(now) or handle(now, events)
+        for _ in range(2):
+            assert await client.enqueue(for_ms=3000) == "+OK\r\n"
+        await anyio.sleep(0.7)
+        assert [r[1] for r in partner.requests] == ["GET"]
+        assert len(turns) < 20
