--- a/pinspread/fleet/cli.py
+++ b/pinspread/fleet/cli.py
@@ -60,6 +60,34 @@
         )
 
 
+@app.command()
+def loopback(
+    file: File,
+    out: Annotated[Path, typer.Option("--out", help="a folder for logs, journals and accounts")],
+    seed: Annotated[int, typer.Option(help="which day")] = 1,
+    variant: Annotated[str, typer.Option(help="whose world; the couriers are this checkout's")] = "",
+):
+    """Play one day of an experiment on real sockets, with real couriers among stand-ins."""
+    from pinspread.fleet import day, experiment
+    from pinspread.fleet.loopback import stage
+    from pinspread.fleet.world import World
+
+    try:
+        points = experiment.load(str(file)).points
+    except experiment.ExperimentError as error:
+        fail(error)
+    point = next((p for p in points if variant in ("", p["variant"])), None)
+    if point is None:
+        fail(f"{file}: has no variant {variant!r}")
+    world = World.model_validate(point["world"])
+    drawn = day.draw(world, seed)
+    found = stage.play(world, drawn, out)
+    (out / "accounts.json").write_bytes(orjson.dumps(found))
+    for line in became(world, drawn, found):
+        print(line)
+    raise typer.Exit(1 if found["broken"] else 0)
+
+
 @app.command()
 def compare(
     a: Annotated[
--- a/pinspread/fleet/loopback/stage.py
+++ b/pinspread/fleet/loopback/stage.py
@@ -24,14 +24,15 @@
 from pinspread.fleet import accounts
 from pinspread.fleet.engine import SECOND
 from pinspread.fleet.loopback.parties import Client, HttpStandIn, until
-from pinspread.fleet.partner import CRASHED, FALLEN, Partner
+from pinspread.fleet.partner import CRASHED, FALLEN, Endpoint, Partner
 from pinspread.fleet.rules import Checker
-from pinspread.fleet.simulate import STATE_OF, module_settings
+from pinspread.fleet.simulate import REPLACED_NS, STATE_OF, module_settings
 from pinspread.fleet.streams import stream, whole
 from pinspread.interface import Verdict
 from pinspread.net import sockets
 
 CLIENT_WAITS_S = 0.4
+DRAIN_GRACE_NS = 300_000_000  # 250 ms, and the 50 more that sockets get
 _blocks = count(os.getpid() % 200 * 64)  # blocks of addresses, so that stages side by side do not meet
 
 
@@ -140,6 +141,9 @@
         row, tries = None, 0
         if request[1] == "POST":
             row = int(request[3]["request-id"][:8], 16)
+            told = stage.told_at.get((self.courier, endpoint.id))
+            if told is not None and stage.engine.now > told + DRAIN_GRACE_NS:
+                stage.past_drain += 1
             tries = int(stage.attempts[row]) % stage.day.chance.shape[1]
             stage.attempts[row] += 1
             stage.calls_at.append(stage.engine.now)
@@ -188,11 +192,17 @@
     def __init__(self, stage, courier):
         super().__init__()
         self.stage, self.courier = stage, courier
-
-    async def serve(self, connection):
-        """Requests; a watch stays open and says that nothing has changed."""
-        self.connection = connection
-        await super().serve(connection)
+        self.watchers = set()
+        self.health = {}  # endpoint -> what this courier has been told of it, where that is not ready
+        self.seq = 1
+
+    def tell(self, endpoint, health):
+        """This courier hears of a change."""
+        self.seq += 1
+        self.health[endpoint.id] = health
+        entry = self.stage.host(endpoint, self.courier) | {"health": health}
+        for news in self.watchers:
+            news.put_nowait({"seq": self.seq, "whole": False, "hosts": [entry]})
 
     def reply(self, request, connection, first):
         """The list, a watch, or notices."""
@@ -207,10 +217,16 @@
     async def _watch(self, connection):
         await connection.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         line = orjson.dumps(self.stage.listed(self.courier)) + b"\n"
-        while True:
-            await connection.write(b"%x\r\n%s\r\n" % (len(line), line))
-            await anyio.sleep(2)
-            line = b"\n"
+        news = asyncio.Queue()
+        self.watchers.add(news)
+        try:
+            while True:
+                await connection.write(b"%x\r\n%s\r\n" % (len(line), line))
+                line = b"\n"
+                with anyio.move_on_after(2):
+                    line = orjson.dumps(await news.get()) + b"\n"
+        finally:
+            self.watchers.discard(news)
 
 
 class Process:
@@ -304,7 +320,12 @@
         self.courier_of = np.searchsorted(shares, day.habits[:, 0]).clip(0, world.couriers.count - 1)
         keys = stream(day.seed, "key couriers").random(int(day.key.max(initial=0)) + 1)
         self.courier_of_key = np.searchsorted(shares, keys).clip(0, world.couriers.count - 1)
-        self.processes = []
+        self.processes, self.platforms = [], []
+        self.first = serial - 1  # endpoints up to this number were there from the start
+        low, high = world.network.list_late_s
+        self.lag_s = stream(day.seed, "lag").uniform(low, high, world.couriers.count).tolist()
+        self.past_drain = 0  # calls to an endpoint after its courier's grace
+        self.told_at = {}  # (courier, endpoint) -> when it was told that nothing may go there
         self.tasks = None
 
     @property
@@ -317,17 +338,24 @@
         place = self.block * 16 + courier
         return f"127.{10 + place // 62_500 % 200}.{place // 250 % 250}.{1 + place % 250}:{21_000 + port}"
 
+    def host(self, endpoint, courier):
+        """An endpoint as a courier's list shows it."""
+        spec = endpoint.partner.spec
+        return {
+            "host": f"e{endpoint.id}", "dial": self.address(courier, 10 + endpoint.id), "site": "local",
+            "class": "big" if spec.big else "small", "block": spec.number, "health": "ready",
+            "share": spec.weight, "born_ms": 0,
+        }  # fmt: skip
+
     def listed(self, courier):
         """The list as a courier is told it."""
+        platform = self.platforms[courier]
         hosts = []
         for endpoint in self.endpoints.values():
-            spec = endpoint.partner.spec
-            hosts.append(
-                {"host": f"e{endpoint.id}", "dial": self.address(courier, 10 + endpoint.id), "site": "local",
-                 "class": "big" if spec.big else "small", "block": spec.number, "health": "ready",
-                 "share": spec.weight, "born_ms": 0}
-            )  # fmt: skip
-        return {"seq": 1, "whole": True, "hosts": hosts}
+            health = platform.health.get(endpoint.id, "ready" if endpoint.id <= self.first else "gone")
+            if health != "gone":
+                hosts.append(self.host(endpoint, courier) | {"health": health})
+        return {"seq": platform.seq, "whole": True, "hosts": hosts}
 
     async def play(self):
         """Play the day; gives its accounts, with what the ledgers say beside them."""
@@ -335,6 +363,7 @@
             async with anyio.create_task_group() as self.tasks:
                 for number in range(self.world.couriers.count):
                     platform = Platform(self, number)
+                    self.platforms.append(platform)
                     self._listen(closing, platform, self.address(number, 1))
                     for endpoint in self.endpoints.values():
                         hop = Hop(self, endpoint, number)
@@ -363,6 +392,8 @@
         lost = len(self.taken.keys() - self.finals.keys())
         if lost:
             found["broken"]["final"] = lost
+        if self.past_drain:
+            found["broken"]["drain"] = self.past_drain
         if found["payments_twice"]:
             found["broken"]["repeat"] = found["payments_twice"]
         if found["broken"]:
@@ -386,6 +417,47 @@
                 for n, number in enumerate(t.targets):
                     at = t.at_ns + (t.until_ns - t.at_ns) * (n % groups) // groups
                     self.tasks.start_soon(self._restart, self.processes[number], at, t.kind, t.down_ns)
+            elif t.kind in ("drain", "replace"):
+                for index in t.targets:
+                    self.tasks.start_soon(self._change, index + 1, t)
+
+    async def _change(self, id_, trouble):
+        """An endpoint drains for a while, or is replaced by another at a new address."""
+        endpoint = self.endpoints[id_]
+        await anyio.sleep(max(0, trouble.at_ns - self.engine.now) / SECOND)
+        if trouble.kind == "replace":
+            new = Endpoint(
+                len(self.endpoints) + 1, endpoint.partner, endpoint.cores, endpoint.queue_room, endpoint.table
+            )
+            new.state = endpoint.state
+            endpoint.partner.endpoints.append(new)
+            self.endpoints[new.id] = new
+            for number in range(len(self.processes)):
+                self.tasks.start_soon(Hop(self, new, number).listen)
+            self._tell(new, "ready")
+        self._tell(endpoint, "draining")
+        if trouble.kind == "drain":
+            await anyio.sleep(max(0, trouble.until_ns - self.engine.now) / SECOND)
+            self._tell(endpoint, "ready")
+            return
+        await anyio.sleep(REPLACED_NS / SECOND)
+        self._tell(endpoint, "gone")
+        endpoint.partner.endpoints.remove(endpoint)
+        endpoint.state = CRASHED
+        for hop in endpoint.pools:
+            hop.broken(True)
+
+    def _tell(self, endpoint, health):
+        for platform, lag in zip(self.platforms, self.lag_s, strict=True):
+            self.tasks.start_soon(self._tell_late, platform, lag, endpoint, health)
+
+    async def _tell_late(self, platform, lag_s, endpoint, health):
+        await anyio.sleep(lag_s)
+        if health == "ready":
+            self.told_at.pop((platform.courier, endpoint.id), None)
+        else:
+            self.told_at.setdefault((platform.courier, endpoint.id), self.engine.now)
+        platform.tell(endpoint, health)
 
     async def _restart(self, process, at_ns, kind, down_ns):
         await anyio.sleep(max(0, at_ns - self.engine.now) / SECOND)
