--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -73,7 +73,11 @@
         print(f"pinspread: {arguments[0]} needs the extra 'fleet': {error.name} is missing", file=sys.stderr)
         return 2
     program = cli.app if arguments[0] == "fleet" else cli.demo
-    return program(arguments[1:], prog_name=f"pinspread {arguments[0]}", standalone_mode=False) or 0
+    try:
+        program(arguments[1:], prog_name=f"pinspread {arguments[0]}")
+    except SystemExit as end:  # of the library: its words are said already
+        return end.code or 0
+    return 0
 
 
 def reread():
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -446,6 +446,25 @@
         assert f"{name}.png" in report and (tmp_path / f"{name}.svg").stat().st_size > 1000
 
 
+@pytest.mark.parametrize(
+    ("words", "code", "said"),
+    [
+        (["fleet", "check", "experiments/smoke.toml"], 0, "no problems"),
+        (["fleet", "check", "no-such.toml"], 2, "no-such.toml"),
+        (["fleet", "run", "experiments/smoke.toml"], 2, "--out"),
+        (["fleet", "inspect", "README.md"], 2, "no trace"),
+        (["fleet", "compare", "README.md", "README.md"], 2, "no result"),
+        (["fleet", "walk"], 2, "walk"),
+        (["demo", "--seconds", "soon"], 2, "soon"),
+    ],
+)
+def test_the_command_line_says_what_is_wrong_and_exits_as_stated(words, code, said):
+    call = [sys.executable, "-m", "pinspread", *words]
+    done = subprocess.run(call, capture_output=True, text=True, cwd=ROOT)
+    assert done.returncode == code and said in done.stdout + done.stderr
+    assert "Traceback" not in done.stderr
+
+
 def test_the_papers_figures():
     found = paper.run(experiment.Paper(), range(200))
     for randomness, theirs in (("0.01", 35), ("0.5", 5)):
