Mend the model where it was wrong: overlapping outages, cut attempts, restarts, stale traces

Read as its next reader, the model had faults that its results rested on: - an outage that ended inside another brought the partner back in its middle, cold, so that rule `cold` counted breaks that were the model's own; - the checker forgot that an attempt which was out when its process ended may have run: a module that sent such a payment again was not caught by it; nor did the partners' ledger count as a witness; - two restarts of one courier that overlapped started it twice; - a run was found again by its trace's path, not by what is in it; - on loopback a delivery ended every id of its message, which could hide one that was lost; - an older pin left in the install mark would count as installed when a change is taken back.

Constants and settings of a version are read from its syntax tree, not by cutting its text. Unused fields are gone.

--- a/pinspread/fleet/accounts.py
+++ b/pinspread/fleet/accounts.py
@@ -70,8 +70,8 @@
     }
 
 
-def of(fleet):
-    """The accounts of a run that is over: plain numbers, lists and names only, the same for the same run."""
+def of(fleet, seen=()):
+    """The accounts of a run that is over, with breaks that others have `seen`: plain numbers, lists and names only, the same for the same run."""
     world, day = fleet.world, fleet.day
     n = max(1, len(day.at_ns))
     age = np.where(fleet.delivered_ns >= 0, fleet.delivered_ns - day.at_ns, -1)
@@ -95,6 +95,10 @@
     }
     broken = {rule: count for rule, count in fleet.checker.counts.items() if count}
     once = np.array([c.effect == "once" for c in world.classes])[day.cls]
+    twice = int((fleet.effects[once] > 1).sum())
+    if twice:  # the partners' ledger is a witness of its own
+        broken["repeat"] = max(twice, broken.get("repeat", 0))
+    broken |= dict(seen)
     net = max(0.0, found["total"] - sum(deductions.values()))
     latencies = {}
     for cls, one in enumerate(world.classes):
@@ -120,7 +124,7 @@
         "delivered": int(delivered.sum()),
         "in_time": int((delivered & (age <= aim)).sum()),
         "failed": int(failed.sum()),
-        "payments_twice": int((fleet.effects[once] > 1).sum()),
+        "payments_twice": twice,
         "branches": len(fleet.calls_at),
         "retries": len(fleet.retries_at),
         "busy": fleet.busy,
--- a/pinspread/fleet/courier.py
+++ b/pinspread/fleet/courier.py
@@ -21,14 +21,13 @@
 class Held:
     """A message that is taken on: what the journal keeps of it, and who handed it in."""
 
-    __slots__ = ("attempts", "client", "deadline_ns", "live", "may_run_ns", "number", "row", "taken_ns")
+    __slots__ = ("attempts", "client", "deadline_ns", "live", "may_run_ns", "number", "row")
 
-    def __init__(self, number, row, deadline_ns, client, now):
+    def __init__(self, number, row, deadline_ns, client):
         self.number = number
         self.row = row
         self.deadline_ns = deadline_ns
         self.client = client
-        self.taken_ns = now
         self.attempts = 0
         self.may_run_ns = 0
         self.live = None  # the call that is out and has been written
@@ -78,7 +77,7 @@
     """One branch, or a probe."""
 
     __slots__ = ("attempt", "chance", "courier", "endpoint", "held", "home", "life", "over", "sent_ns",
-                 "started_ns", "timeout_ns", "fresh", "ran", "work_ns")  # fmt: skip
+                 "started_ns", "timeout_ns", "fresh", "work_ns")  # fmt: skip
 
     def __init__(self, home, held, endpoint, timeout_ns):
         self.home = home
@@ -91,12 +90,10 @@
         self.life = home.life
         self.over = False
         self.fresh = False  # on a new connection
-        self.ran = False
         self.attempt = 0
 
     def runs(self):
         """The endpoint begins to work on it: from here on it takes effect."""
-        self.ran = True
         if self.held is not None:
             self.home.fleet.effect(self)
 
@@ -138,11 +135,10 @@
         self.pools = {}
         self.told = {}  # dest -> until when
         self.usable = {}  # endpoint -> whether the list lets it be called
-        self.known = {}  # endpoint -> its last entry
         self.serial = 0
         self.inbox = []
         self.turn_due = False
-        self.sent = self.retries = self.handshakes = self.probes = self.turns = self.handled = 0
+        self.handshakes = self.probes = self.turns = 0
         self.restarts = 0
 
     # --- its process ------------------------------------------------------------------------------
@@ -162,9 +158,8 @@
     def stop(self):
         """SIGTERM: busy answers from now on; what is out may end."""
         self.stopping = True
-        life = self.life
-        self.engine.after(DRAIN_NS, self._gone, life)
-        self.engine.after(LINGER_NS, self._lingered, life)
+        self.engine.after(DRAIN_NS, self._gone, self.life)
+        self.engine.after(LINGER_NS, self._lingered, self.life)
 
     def _lingered(self, life):
         if life == self.life:
@@ -188,6 +183,7 @@
             if call.held is not None and call.held.live is call:
                 call.held.may_run_ns = call.held.may_run_ns or call.sent_ns
                 call.held.live = None
+                self.fleet.checker.cut(self.number, call.held.number, call.sent_ns)
         for pool in self.pools.values():
             pool.endpoint.connections -= len(pool.idle) + len(pool.out)
             pool.endpoint.pools.remove(pool)
@@ -210,7 +206,7 @@
         if len(self.open) >= self.fleet.settings.most_held:
             return SECOND
         self.serial += 1
-        held = self.open[self.serial] = Held(self.serial, row, deadline_ns, client, self.engine.now)
+        held = self.open[self.serial] = Held(self.serial, row, deadline_ns, client)
         day = self.fleet.day
         self.fleet.checker.taken(
             self.number, held.number, int(day.cls[row]), int(day.dest[row]), int(day.key[row]), deadline_ns
@@ -257,7 +253,6 @@
             return
         events, self.inbox = self.inbox, []
         self.turns += 1
-        self.handled += len(events)
         now = self.engine.now
         for action in self.sender.handle(now, events):
             kind = type(action)
@@ -298,16 +293,13 @@
         call.work_ns = int(self.fleet.day.work_ns[held.row, draw])
         held.attempts += 1
         self.calls[held.number, call.attempt] = call
-        self.sent += 1
         self.fleet.sent(call)
-        if call.attempt:
-            self.retries += 1
         self.engine.after(action.timeout_ns, self._timed_out, call)
         pool = self._pool(endpoint)
         if pool.take():
             self._write(call, pool)
         else:
-            self._dial(call, pool, draw)
+            self._dial(call, pool)
 
     def _pool(self, endpoint):
         pool = self.pools.get(endpoint.id)
@@ -320,7 +312,7 @@
         base = self.fleet.delays[endpoint.partner.number - 1]
         return int(base * (1 + self.jitter * (2 * float(chance) - 1)))
 
-    def _dial(self, call, pool, draw):
+    def _dial(self, call, pool):
         found = call.endpoint.partner.dial(call.endpoint)
         there_and_back = 2 * self.delay(call.endpoint, call.chance[0])
         if found == "up":
@@ -407,7 +399,7 @@
             checker.delivered(self.number, now, held.number)
             held.client.ended(held.row, "delivered", 0)
         checker.outcome(self.number, now, held.number, verdict, call.sent_ns or now, wait_ns, dest, done)
-        self.fleet.outcome(call, verdict, now)
+        self.fleet.outcome(verdict)
         self.post(
             api.AttemptEnded(
                 held.number, call.attempt, endpoint.id, verdict, now - call.started_ns, done, wait_ns
@@ -428,4 +420,4 @@
         if pool.take():
             self._write(call, pool)
         else:
-            self._dial(call, pool, 0)
+            self._dial(call, pool)
--- a/pinspread/fleet/day.py
+++ b/pinspread/fleet/day.py
@@ -42,6 +42,17 @@
     down_ns: int = 0
     cold: bool = True
 
+    @property
+    def leaves_cold(self) -> bool:
+        """Whether partners return cold: where most calls went through there was no outage."""
+        return self.cold and (self.kind != "errors" or self.size > 0.5)
+
+    def restarts(self, couriers: int):
+        """(courier, time) of each restart: a batch at a time, spread over the trouble."""
+        groups = max(1, round(len(self.targets) / max(1, self.batch * couriers)))
+        for n, number in enumerate(self.targets):
+            yield number, self.at_ns + (self.until_ns - self.at_ns) * (n % groups) // groups
+
 
 @dataclass(slots=True)
 class Day:
--- a/pinspread/fleet/experiment.py
+++ b/pinspread/fleet/experiment.py
@@ -1,5 +1,6 @@
 """Experiment files: a world, variants, seeds and a sweep; checked, every problem with its place."""
 
+import hashlib
 import tomllib
 from pathlib import Path
 from typing import Annotated, Any, Literal
@@ -84,7 +85,12 @@
         self.name, self.kind = head.name, head.kind
         self.seeds = list(range(1, head.seeds + 1)) if isinstance(head.seeds, int) else head.seeds
         self.trace = str(folder / file.trace) if file.trace else ""
-        self.points, problems = [], []
+        self.points, problems, self.trace_sha256 = [], [], ""
+        if self.trace:
+            try:
+                self.trace_sha256 = hashlib.sha256(Path(self.trace).read_bytes()).hexdigest()
+            except OSError as error:
+                problems.append(f"trace: {self.trace}: {error.strerror}")
         texts_of = {}
         for n, variant in enumerate(file.variants or [Variant(name="as is")]):
             place = f"variant[{n}]"
@@ -118,16 +124,15 @@
             root = sweep.path.split(".")[0]
             parts[root] = merged(parts[root], at_path(sweep.path, value))
             place = f"{place}, sweep.values[{k}]"
-        for name in variants.unknown_constants(parts["constants"], text["decide"]):
-            problems.append(f"{place}.constants.{name}: decide.py has no such constant")
-        fields = {
-            line.strip().split(":")[0]
-            for line in text["interface"].split("class Settings:")[1].split("def ")[0].splitlines()
-            if ":" in line
-        }
-        for name in parts["settings"]:
-            if name not in fields:
-                problems.append(f"{place}.settings.{name}: the module has no such setting")
+        for what, there in (
+            ("constants", variants.constants_of(text)),
+            ("settings", variants.settings_of(text)),
+        ):
+            for name, one in parts[what].items():
+                if name not in there:
+                    problems.append(f"{place}.{what}.{name}: the module has none of that name")
+                elif what == "settings" and not isinstance(one, int | float):
+                    problems.append(f"{place}.{what}.{name}: must be a number or true or false, not {one!r}")
         try:
             world = World.model_validate(parts["world"])
         except ValidationError as error:
@@ -147,6 +152,7 @@
                 "texts": text if foreign else None,
                 "module_seed": variant.module_seed,
                 "trace": self.trace,
+                "trace_sha256": self.trace_sha256,
             }
         )
         return problems
--- a/pinspread/fleet/loopback/stage.py
+++ b/pinspread/fleet/loopback/stage.py
@@ -22,9 +22,10 @@
 import orjson
 
 from pinspread.fleet import accounts
+from pinspread.fleet.clients import Habits
 from pinspread.fleet.engine import SECOND
 from pinspread.fleet.loopback.parties import Client, HttpStandIn, until
-from pinspread.fleet.partner import CRASHED, FALLEN, Endpoint, Partner
+from pinspread.fleet.partner import CRASHED, FALLEN, Endpoint, partners_of
 from pinspread.fleet.rules import Checker
 from pinspread.fleet.simulate import REPLACED_NS, STATE_OF, module_settings
 from pinspread.fleet.streams import stream, whole
@@ -170,7 +171,7 @@
         await anyio.sleep(back)
         if verdict is Verdict.OK:
             if row is not None:
-                stage.delivered(row)
+                stage.delivered(row, request[3]["request-id"])
             return 200, [], b""
         if verdict is Verdict.ERROR:
             return 500, [], b""
@@ -300,28 +301,19 @@
         self.settings = module_settings(world, day, {})
         self.checker = Checker(self.settings.classes, self.settings.max_attempts)
         self.block = next(_blocks)
-        self.partners, self.endpoints, serial = {}, {}, 1
-        for spec in day.partners:
-            one = self.partners[spec.number] = Partner(spec, self.engine, world, self.checker, serial)
-            serial += len(one.endpoints)
-            self.endpoints.update((e.id, e) for e in one.endpoints)
+        self.partners, self.endpoints = partners_of(day, self.engine, world, self.checker)
         self.delays = day.delay_ns.tolist()
         n = len(day.at_ns)
         self.delivered_ns, self.ended_ns = np.full(n, -1, dtype=np.int64), np.full(n, -1, dtype=np.int64)
-        self.tries, self.effects = np.zeros(n, dtype=np.int16), np.zeros(n, dtype=np.int16)
+        self.effects = np.zeros(n, dtype=np.int16)
         self.attempts = np.zeros(n, dtype=np.int16)
         self.busy = self.unanswered = self.handshakes = self.probes = self.work_done_ns = 0
         self.turns = 0
         self.verdicts, self.calls_at, self.retries_at = {}, [], []
-        self.taken, self.finals, self.twice_told = {}, {}, 0
-        self.early = set()  # delivered before its client had heard +OK
-        self.deadline_ns = [int(c.deadline_s * SECOND) for c in world.classes]
-        shares = np.cumsum(day.courier_share)
-        self.courier_of = np.searchsorted(shares, day.habits[:, 0]).clip(0, world.couriers.count - 1)
-        keys = stream(day.seed, "key couriers").random(int(day.key.max(initial=0)) + 1)
-        self.courier_of_key = np.searchsorted(shares, keys).clip(0, world.couriers.count - 1)
+        self.taken, self.finals = {}, {}  # ids that were taken on -> row, and how they ended
+        self.habits = Habits(world, day)
         self.processes, self.platforms = [], []
-        self.first = serial - 1  # endpoints up to this number were there from the start
+        self.first = len(self.endpoints)  # endpoints up to this number were there from the start
         low, high = world.network.list_late_s
         self.lag_s = stream(day.seed, "lag").uniform(low, high, world.couriers.count).tolist()
         self.past_drain = 0  # calls to an endpoint after its courier's grace
@@ -381,24 +373,16 @@
                     await self._arrivals()
                     length_s = self.day.length_ns / SECOND
                     await anyio.sleep(max(0.0, length_s - self.engine.now / SECOND))
-                    longest = max(self.deadline_ns) / SECOND + 2
+                    longest = max(c.deadline_s for c in self.world.classes) + 2
                     with anyio.move_on_after(longest):
                         await until(lambda: not (self.taken.keys() - self.finals.keys()), longest + 1)
                 finally:
                     for process in self.processes:
                         process.end()
                 self.tasks.cancel_scope.cancel()
-        found = accounts.of(self)
         lost = len(self.taken.keys() - self.finals.keys())
-        if lost:
-            found["broken"]["final"] = lost
-        if self.past_drain:
-            found["broken"]["drain"] = self.past_drain
-        if found["payments_twice"]:
-            found["broken"]["repeat"] = found["payments_twice"]
-        if found["broken"]:
-            found["service"] = 0.0
-        return found | {"lost": lost, "taken": len(self.taken)}
+        seen = {rule: count for rule, count in (("final", lost), ("drain", self.past_drain)) if count}
+        return accounts.of(self, seen) | {"lost": lost, "taken": len(self.taken)}
 
     def _listen(self, closing, stand_in, address):
         sock = sockets.listen(address)
@@ -410,12 +394,10 @@
             if t.kind in STATE_OF:
                 for number in t.targets:
                     one = self.partners[number]
-                    self.engine.at(t.at_ns, one.strike, STATE_OF[t.kind], t.until_ns, t.size)
-                    self.engine.at(t.until_ns, one.restore, t.cold and (t.kind != "errors" or t.size > 0.5))
+                    self.engine.at(t.at_ns, one.strike, STATE_OF[t.kind], t.until_ns, t.size, t.leaves_cold)
+                    self.engine.at(t.until_ns, one.restore)
             elif t.kind in ("restart", "kill"):
-                groups = max(1, round(len(t.targets) / max(1, t.batch * len(self.processes))))
-                for n, number in enumerate(t.targets):
-                    at = t.at_ns + (t.until_ns - t.at_ns) * (n % groups) // groups
+                for number, at in t.restarts(len(self.processes)):
                     self.tasks.start_soon(self._restart, self.processes[number], at, t.kind, t.down_ns)
             elif t.kind in ("drain", "replace"):
                 for index in t.targets:
@@ -473,18 +455,16 @@
             self.tasks.start_soon(self._hand_in, row)
 
     async def _hand_in(self, row):
-        day = self.day
-        deadline = int(day.at_ns[row]) + self.deadline_ns[day.cls[row]]
+        deadline = self.habits.deadline_ns(row)
         while True:
             left = deadline - self.engine.now
             if left <= 0:
                 self.ended_ns[row] = self.engine.now
                 return
-            key = int(day.key[row])
-            chosen = int(self.courier_of_key[key] if key else self.courier_of[row])
+            chosen = self.habits.courier(row)
             ready = [self.processes[(chosen + s) % len(self.processes)] for s in range(len(self.processes))]
             process = next((p for p in ready if p.ready), None)
-            said = await self._say(process, row, key, left // 1_000_000) if process else ""
+            said = await self._say(process, row, left // 1_000_000) if process else ""
             if said.startswith("+"):
                 return
             if not said.startswith("-BUSY"):
@@ -498,28 +478,23 @@
 
     async def _again(self, row, told_ms):
         """Wait as this client's habits say; false where it does not come again."""
-        traffic, day = self.world.traffic, self.day
-        if self.tries[row] >= traffic.retries:
+        wait = self.habits.again_ns(row, told_ms * 1_000_000)
+        if wait is None:
             self.ended_ns[row] = self.engine.now
             return False
-        low, high = traffic.backoff_s
-        own = (low + (high - low) * float(day.habits[row, 2])) * 2 ** int(self.tries[row])
-        self.tries[row] += 1
-        await anyio.sleep(told_ms / 1000 if told_ms and day.habits[row, 1] < traffic.honour else own)
+        await anyio.sleep(wait / SECOND)
         return True
 
-    async def _say(self, process, row, key, left_ms):
+    async def _say(self, process, row, left_ms):
         day, world = self.day, self.world
-        id_ = (
-            f"{row:08x}{int(self.tries[row]):02x}{whole(day.seed, 'id', row, self.unanswered) & 0xFFFFFF:06x}"
-        )
+        id_ = f"{row:08x}{int(self.habits.tries[row]):02x}{whole(day.seed, 'id', row, self.unanswered) & 0xFFFFFF:06x}"
         cls, team = world.classes[day.cls[row]].name, world.teams[day.team[row]].name
         options = f"c={cls},t={team},d={left_ms},k={row:016x},dest={int(day.dest[row])}"
         client = process.clients.pop() if process.clients else Client(process.address)
         self.taken[id_] = row  # it may be taken on though its answer is lost
         try:
             with anyio.fail_after(CLIENT_WAITS_S):
-                said = await client.say("ENQUEUE", str(key), id_, options, b"x" * 200)
+                said = await client.say("ENQUEUE", str(int(day.key[row])), id_, options, b"x" * 200)
         except (
             OSError,
             TimeoutError,
@@ -538,14 +513,12 @@
 
     # --- ends -------------------------------------------------------------------------------------
 
-    def delivered(self, row):
-        """A 200 goes out."""
+    def delivered(self, row, id_):
+        """A 200 goes out for a message that was handed in as `id_`."""
         now = self.engine.now
         if self.delivered_ns[row] < 0:
             self.delivered_ns[row] = self.ended_ns[row] = now
-        for id_, its in list(self.taken.items()):
-            if its == row:
-                self.finals.setdefault(id_, "delivered")
+        self.finals.setdefault(id_, "delivered")
 
     def notice(self, told):
         """A notice came."""
--- a/pinspread/fleet/partner.py
+++ b/pinspread/fleet/partner.py
@@ -13,6 +13,15 @@
 FAST_ERROR_NS = 5 * MS
 
 
+def partners_of(day, engine, world, watch):
+    """The partners of a day by number, and their endpoints by id."""
+    partners, endpoints = {}, {}
+    for spec in day.partners:
+        one = partners[spec.number] = Partner(spec, engine, world, watch, len(endpoints) + 1)
+        endpoints.update((e.id, e) for e in one.endpoints)
+    return partners, endpoints
+
+
 class Endpoint:
     """One endpoint: calls in work, calls that wait, connections that it holds."""
 
@@ -54,6 +63,7 @@
         self.opens_ns = 0  # while shut: when it opens
         self.error_share = 0.0
         self.cold_ns = -1  # since when it is cold
+        self.outages = []  # (until, state, size, whether it leaves cold), those that began since it was last up
         self.informed = set()  # couriers that saw it fail in the outage that is on, or was last
         self.lately = deque()  # (time, courier) of what reached it while cold
         self.span_start, self.span_count = 0, 0
@@ -61,20 +71,25 @@
 
     # --- troubles ---------------------------------------------------------------------------------
 
-    def strike(self, state, until_ns, size=1.0):
+    def strike(self, state, until_ns, size=1.0, cold=True):
         """An outage begins: what is in work is lost where the process or the machine goes."""
         if self.endpoints[0].state == FALLEN:
             return
-        self.informed = set()
+        if not self.outages:
+            self.informed = set()
+        self.outages.append((until_ns, state, size, cold))
+        self._enter(state, until_ns, size)
+
+    def _enter(self, state, until_ns, size):
         self.opens_ns = until_ns
         self.error_share = size
         self.cold_ns = -1
         for endpoint in self.endpoints:
             endpoint.state = state
             if state in (CRASHED, SILENT, FALLEN):
-                self._lose(endpoint, reset=state != SILENT)
+                self.lose(endpoint, reset=state != SILENT)
 
-    def _lose(self, endpoint, reset):
+    def lose(self, endpoint, reset):
         endpoint.life += 1
         waiting, endpoint.queue, endpoint.busy = endpoint.queue, deque(), 0
         for pool in endpoint.pools:
@@ -83,10 +98,18 @@
             for call in waiting:
                 call[0].broken()
 
-    def restore(self, cold=True):
-        """The outage is over; the partner comes back cold."""
+    def restore(self):
+        """An outage is over: the partner comes back, unless another is on; cold, if any of them leaves it so."""
         if self.endpoints[0].state == FALLEN:
             return
+        # Danger: an outage that ends inside another must not bring the partner back in its middle.
+        on = [outage for outage in self.outages if outage[0] > self.engine.now]
+        if on:
+            until_ns, state, size, _ = on[-1]
+            self._enter(state, until_ns, size)
+            return
+        cold = any(outage[3] for outage in self.outages)
+        self.outages.clear()
         for endpoint in self.endpoints:
             endpoint.state = UP
         self.cold_ns = self.engine.now if cold else -1
--- a/pinspread/fleet/rules.py
+++ b/pinspread/fleet/rules.py
@@ -25,10 +25,10 @@
 class Entry:
     """What the checker knows of one message at one courier."""
 
-    __slots__ = ("cls", "deadline_ns", "dest", "ended", "key", "may_run_ns", "out", "sends", "serial")
+    __slots__ = ("cls", "deadline_ns", "dest", "ended", "key", "may_run_ns", "out", "sends")
 
-    def __init__(self, cls, dest, key, deadline_ns, serial):
-        self.cls, self.dest, self.key, self.deadline_ns, self.serial = cls, dest, key, deadline_ns, serial
+    def __init__(self, cls, dest, key, deadline_ns):
+        self.cls, self.dest, self.key, self.deadline_ns = cls, dest, key, deadline_ns
         self.sends = 0
         self.out = False
         self.may_run_ns = 0
@@ -48,7 +48,6 @@
         self.waits = {}  # (courier, dest) -> until when
         self.drains = {}  # (courier, endpoint) -> since when it is not to be used
         self.ready_ns = {}  # courier -> when it was last ready; absent: from the start
-        self.serial = 0
 
     def broke(self, rule, now, courier, why):
         """Note a break."""
@@ -60,9 +59,8 @@
 
     def taken(self, courier, request, cls, dest, key, deadline_ns):
         """A courier has taken a message on."""
-        self.serial += 1
         key = key if self.classes[cls].in_order else 0
-        entry = self.messages[courier, request] = Entry(cls, dest, key, deadline_ns, self.serial)
+        entry = self.messages[courier, request] = Entry(cls, dest, key, deadline_ns)
         if key:
             self.keys.setdefault((courier, key), []).append(entry)
 
@@ -73,12 +71,17 @@
         else:
             self.drains.setdefault((courier, endpoint), now)
 
+    def cut(self, courier, request, sent_ns):
+        """A courier's process ended while this attempt was out and written: it may have run."""
+        entry = self.messages[courier, request]
+        entry.may_run_ns = entry.may_run_ns or sent_ns
+
     def started(self, courier, now):
-        """A courier is ready again: told waits ended with its process; what was out may have run."""
+        """A courier is ready again: told waits and attempts ended with its process."""
         self.ready_ns[courier] = now
         self.waits = {k: v for k, v in self.waits.items() if k[0] != courier}
         for (who, _), entry in self.messages.items():
-            if who == courier and entry.out:
+            if who == courier:
                 entry.out = False
 
     def sent(self, courier, now, request, endpoint, dest):
--- a/pinspread/fleet/runs.py
+++ b/pinspread/fleet/runs.py
@@ -44,7 +44,9 @@
 
 def key_of(point: dict, seed: int) -> str:
     """What a finished run is found by: a hash of all that it depends on."""
-    plain = {name: value for name, value in point.items() if name not in ("texts", "variant", "value")}
+    plain = {
+        name: value for name, value in point.items() if name not in ("texts", "variant", "value", "trace")
+    }
     model = hashlib.sha256()
     for file in sorted(Path(__file__).parent.glob("*.py")):
         model.update(file.read_bytes())
--- a/pinspread/fleet/simulate.py
+++ b/pinspread/fleet/simulate.py
@@ -5,10 +5,11 @@
 from pinspread import decide
 from pinspread import interface as api
 from pinspread.fleet import accounts, partner
+from pinspread.fleet.clients import Habits
 from pinspread.fleet.courier import Courier
 from pinspread.fleet.day import Day
 from pinspread.fleet.engine import SECOND, Engine
-from pinspread.fleet.partner import Endpoint, Partner
+from pinspread.fleet.partner import Endpoint, partners_of
 from pinspread.fleet.rules import Checker
 from pinspread.fleet.streams import stream, whole
 
@@ -35,11 +36,7 @@
         self.sender = sender or decide.Sender
         self.settings = module_settings(world, day, settings or {})
         self.checker = Checker(self.settings.classes, self.settings.max_attempts)
-        self.partners, self.endpoints, serial = {}, {}, 1
-        for spec in day.partners:
-            one = self.partners[spec.number] = Partner(spec, self.engine, world, self.checker, serial)
-            serial += len(one.endpoints)
-            self.endpoints.update((e.id, e) for e in one.endpoints)
+        self.partners, self.endpoints = partners_of(day, self.engine, world, self.checker)
         self.entries = {e.id: self._entry(e) for e in self.endpoints.values()}
         self.delays = day.delay_ns.tolist()
         low, high = world.network.list_late_s
@@ -49,22 +46,13 @@
         n = len(day.at_ns)
         self.delivered_ns = np.full(n, -1, dtype=np.int64)
         self.ended_ns = np.full(n, -1, dtype=np.int64)
-        self.tries = np.zeros(n, dtype=np.int16)
         self.effects = np.zeros(n, dtype=np.int16)
         self.attempts = np.zeros(n, dtype=np.int16)
-        self.first_failed = np.zeros(n, dtype=bool)
         self.busy = self.unanswered = 0
         self.verdicts = {}
         self.calls_at, self.retries_at = [], []  # times in ns
         self.work_done_ns = 0
-        self.deadline_ns = [int(c.deadline_s * SECOND) for c in world.classes]
-        self.courier_of = np.searchsorted(np.cumsum(day.courier_share), day.habits[:, 0]).clip(
-            0, world.couriers.count - 1
-        )
-        keys = stream(day.seed, "key couriers").random(int(day.key.max(initial=0)) + 1)
-        self.courier_of_key = np.searchsorted(np.cumsum(day.courier_share), keys).clip(
-            0, world.couriers.count - 1
-        )
+        self.habits = Habits(world, day)
 
     def _entry(self, endpoint, state=api.ListState.READY):
         spec = endpoint.partner.spec
@@ -101,13 +89,12 @@
 
     def hand_in(self, row):
         """A client hands a message in, for the first time or again."""
-        day, engine = self.day, self.engine
-        deadline = int(day.at_ns[row]) + self.deadline_ns[day.cls[row]]
+        engine = self.engine
+        deadline = self.habits.deadline_ns(row)
         if engine.now >= deadline:
             self.ended_ns[row] = engine.now
             return
-        key = int(day.key[row])
-        chosen = self.courier_of_key[key] if key else self.courier_of[row]
+        chosen = self.habits.courier(row)
         for step in range(len(self.couriers)):
             courier = self.couriers[(chosen + step) % len(self.couriers)]
             answer = courier.take(row, deadline, self)
@@ -122,15 +109,11 @@
 
     def _again(self, row, told_ns):
         """After a busy answer or a return: again, if the client's habits and the time allow it."""
-        traffic, day = self.world.traffic, self.day
-        if self.tries[row] >= traffic.retries:
+        wait = self.habits.again_ns(row, told_ns)
+        if wait is None:
             self.ended_ns[row] = self.engine.now
-            return
-        low, high = traffic.backoff_s
-        own = int((low + (high - low) * float(day.habits[row, 2])) * SECOND * 2 ** int(self.tries[row]))
-        wait = told_ns if told_ns and day.habits[row, 1] < traffic.honour else own
-        self.tries[row] += 1
-        self.engine.after(wait, self.hand_in, row)
+        else:
+            self.engine.after(wait, self.hand_in, row)
 
     def ended(self, row, how, after_ns):
         """A courier tells a message's end."""
@@ -159,7 +142,7 @@
         self.effects[call.held.row] += 1
         self.work_done_ns += call.work_ns
 
-    def outcome(self, call, verdict, now):
+    def outcome(self, verdict):
         """A branch has ended."""
         self.verdicts[verdict] = self.verdicts.get(verdict, 0) + 1
 
@@ -170,20 +153,17 @@
         if t.kind in STATE_OF:
             for number in t.targets:
                 one = self.partners[number]
-                engine.at(t.at_ns, one.strike, STATE_OF[t.kind], t.until_ns, t.size)
-                # Where most calls went through there was no outage, and nothing is cold after it.
-                engine.at(t.until_ns, one.restore, t.cold and (t.kind != "errors" or t.size > 0.5))
+                engine.at(t.at_ns, one.strike, STATE_OF[t.kind], t.until_ns, t.size, t.leaves_cold)
+                engine.at(t.until_ns, one.restore)
         elif t.kind in ("restart", "kill"):
-            groups = max(1, round(len(t.targets) / max(1, t.batch * len(self.couriers))))
-            for n, number in enumerate(t.targets):
-                at = t.at_ns + (t.until_ns - t.at_ns) * (n % groups) // groups
+            for number, at in t.restarts(len(self.couriers)):
                 engine.at(at, self._restart, self.couriers[number], t.kind, t.down_ns)
         elif t.kind in ("drain", "replace"):
             for index in t.targets:
                 engine.at(t.at_ns, self._change, index + 1, t.kind, t.until_ns)
 
     def _restart(self, courier, kind, down_ns):
-        if not courier.up:
+        if not courier.up or courier.stopping:
             return
         down_ns += int(self.world.couriers.boot_s * SECOND)
         if kind == "kill":
@@ -203,7 +183,8 @@
         self.engine.after(down_ns, self._back, courier)
 
     def _back(self, courier):
-        courier.start(list(self.entries.values()))
+        if not courier.up:  # else another restart has brought it back
+            courier.start(list(self.entries.values()))
 
     def _change(self, id_, kind, until_ns):
         endpoint = self.endpoints[id_]
@@ -224,7 +205,7 @@
         self._list(endpoint, api.ListState.GONE)
         endpoint.partner.endpoints.remove(endpoint)
         endpoint.state = partner.CRASHED
-        endpoint.partner._lose(endpoint, reset=True)
+        endpoint.partner.lose(endpoint, reset=True)
 
     def _list(self, endpoint, state):
         entry = self.entries[endpoint.id] = self._entry(endpoint, state)
--- a/pinspread/fleet/variants.py
+++ b/pinspread/fleet/variants.py
@@ -4,6 +4,7 @@
 fellows before anything else is loaded; so this module must not import them at its top.
 """
 
+import ast
 import hashlib
 import importlib
 import subprocess
@@ -65,10 +66,20 @@
         exec(compile(found[name], module.__file__, "exec"), module.__dict__)
 
 
-def unknown_constants(constants: dict, text: str) -> list:
-    """Names that a version's decide.py does not set as constants."""
-    there = {line.split(" = ")[0] for line in text.splitlines() if line[:1].isupper() and " = " in line}
-    return [name for name in constants if name not in there]
+def constants_of(found: dict) -> set:
+    """The constants that a version's decide.py sets."""
+    targets = [
+        t for node in ast.parse(found["decide"]).body if type(node) is ast.Assign for t in node.targets
+    ]
+    return {t.id for t in targets if type(t) is ast.Name and t.id.isupper()}
+
+
+def settings_of(found: dict) -> set:
+    """The fields of a version's interface.Settings."""
+    classes = [
+        n for n in ast.parse(found["interface"]).body if type(n) is ast.ClassDef and n.name == "Settings"
+    ]
+    return {node.target.id for one in classes for node in one.body if type(node) is ast.AnnAssign}
 
 
 class Constants:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import numpy as np
@@ -15,7 +16,7 @@
 from pinspread import interface as api
 from pinspread.fleet import accounts, compare, day, experiment, fit, paper, runs, simulate, trace, variants
 from pinspread.fleet.engine import MS, SECOND, Engine, Stuck
-from pinspread.fleet.partner import UP, Partner
+from pinspread.fleet.partner import CRASHED, SHUT, UP, Partner
 from pinspread.fleet.rules import RULES, Checker
 from pinspread.fleet.world import World
 
@@ -170,6 +171,8 @@
     assert one.ability() == pytest.approx(0.2)
     engine.run(4500 * MS)
     assert one.ability() == pytest.approx(0.6)
+    one.strike(1, engine.now)
+    one.failed_for(7)
     one.restore()  # cold anew
     for _ in range(12):
         one.arrive(endpoint, Caller(courier=7), MS)
@@ -177,6 +180,20 @@
     assert endpoint.state != UP
 
 
+def test_an_outage_that_ends_inside_another_does_not_bring_the_partner_back():
+    engine, one, endpoint = partner()
+    one.strike(CRASHED, 4 * SECOND)
+    one.failed_for(7)
+    engine.run(2 * SECOND)
+    one.strike(SHUT, 9 * SECOND)
+    engine.run(4 * SECOND)
+    one.restore()
+    assert endpoint.state == SHUT and one.informed == {7}
+    engine.run(9 * SECOND)
+    one.restore()
+    assert endpoint.state == UP and one.ability() == pytest.approx(0.2)
+
+
 def test_who_did_not_know_is_not_blamed_for_a_fall():
     engine, one, endpoint = partner(per_s=4.0)
     one.strike(1, 0)
@@ -217,9 +234,7 @@
 
     def on_list(self, event):
         for entry in event.entries:
-            entry = type(entry)(
-                entry.endpoint, entry.destination, 0, entry.kind, api.ListState.READY, entry.weight
-            )
+            entry = replace(entry, state=api.ListState.READY)
             super().on_list(api.ListChanged(api.ListScope.DELTA, [entry]))
 
 
@@ -247,6 +262,13 @@
         return message.ready_ns
 
 
+class Starts(decide.Sender):
+    """Takes what was out when its process ended for never run."""
+
+    def on_message(self, event):
+        super().on_message(replace(event, may_run_ns=0))
+
+
 BROKEN = dict(zip(RULES, (Forgets, Repeats, Drains, Pushes, Hurries, Overtakes), strict=True))
 
 
@@ -265,6 +287,24 @@
     assert any(b["rule"] == rule and b["why"] and b["at_s"] > 0 for b in broke["breaks"])
 
 
+def test_the_checker_catches_a_payment_that_is_sent_again_after_a_restart():
+    kills = [{"kind": "kill", "at_s": at, "length_s": 1, "share": 1.0, "batch": 1.0} for at in (3, 6, 9)]
+    busy = world(trouble=kills)
+    assert not play(busy, sender=decide.Sender)["broken"].get("repeat")
+    found = play(busy, sender=Starts)
+    assert any("may have run" in b["why"] for b in found["breaks"])  # the checker's word
+    assert found["payments_twice"] and found["broken"]["repeat"]  # and the ledger's
+
+
+def test_restarts_that_overlap_leave_each_courier_running_once():
+    kills = [
+        {"kind": kind, "at_s": 3, "length_s": 1, "share": 1.0, "batch": 1.0} for kind in ("kill", "restart")
+    ]
+    fleet = simulate.Fleet(world(trouble=kills), day.draw(world(trouble=kills), 1))
+    fleet.run()
+    assert [c.restarts for c in fleet.couriers] == [2, 2, 2] and all(c.up for c in fleet.couriers)
+
+
 def test_the_module_as_it_is_keeps_the_rules_on_a_troubled_day():
     found = play(world(**TROUBLED), 1)
     assert not found["broken"] and found["payments_twice"] == 0
@@ -431,6 +471,8 @@
         ("settings = {", 'module = "nowhere"\nsettings = {', "variant[1].module"),
         ("[world]", "[worlds]", "worlds"),
         ("seeds = 2", "seeds = ", "x.toml"),
+        ("calls_out = 2", 'calls_out = "two"', "settings.calls_out"),
+        ("[experiment]", "trace = 'nowhere'\n[experiment]", "trace: "),
     ],
 )
 def test_a_bad_experiment_is_refused_with_its_place(old, new, place, tmp_path):
--- a/tools/pins.py
+++ b/tools/pins.py
@@ -29,7 +29,10 @@
     if not (ROOT / ".venv").exists():
         subprocess.run([sys.executable, "-m", "venv", ROOT / ".venv"], check=True)
     subprocess.run([ROOT / ".venv/bin/pip", "-q", "install", *wanted], check=True)
-    mark.write_text("\n".join(sorted(there | set(wanted))) + "\n")
+    # Danger: an older pin left in the mark would count as installed when a change is taken back.
+    names = {pin.split("==")[0] for pin in wanted}
+    others = {pin for pin in there if pin.split("==")[0] not in names}
+    mark.write_text("\n".join(sorted(others | set(wanted))) + "\n")
 
 
 def main(arguments):
