Keep many couriers from pushing over what returns cold; judge that rule on sockets too

Cause, read from the calls that pushed partners over: each courier looks at each endpoint of a line that is back twice in quick succession; the couriers' looks together exceed what the partner takes in 1.5 s.

Change: with more than four senders the first success at an endpoint of a line starts the ramp of its other endpoints, and looks there wait for it. Fewer senders decide as before.

--- /dev/null
+++ b/benchmarks/fits.py
@@ -0,0 +1,107 @@
+"""Fits against the truth: what recorded logs say of partners whose figures are known.
+
+    python benchmarks/fits.py found/replays [--shift 0]
+
+The folder and the shift are those of `benchmarks/replays.py`: each of its days has logs of real couriers and is
+known to the last figure. Counted: limits (a partner is asked about if it refused for its limit at least three
+times), outages by partner, and latencies against the waitless time of a call.
+"""
+
+import argparse
+from pathlib import Path
+
+import numpy as np
+from replays import SCENARIOS, world
+
+from pinspread.fleet import day, trace
+from pinspread.fleet.fit import IN_A_ROW
+from pinspread.fleet.simulate import STATE_OF
+
+KEY = b"a key that hides nothing"
+NEAR_S = 3.0  # an outage is found if the fitted one begins and ends so near to it: what a quiet partner tells
+
+
+def outages(drawn, number):
+    """The true outages of a partner, those that overlap joined: [(kind, from, until)] in seconds."""
+    mine = sorted(
+        (t.at_ns / 1e9, t.until_ns / 1e9, t.kind)
+        for t in drawn.troubles
+        if t.kind in STATE_OF and number in t.targets
+    )
+    return [(kind, low, high) for low, high, kind in mine]
+
+
+def compare(drawn, recorded, seen):
+    """Add one day's differences to `seen`."""
+    shift = float(np.median(np.array(recorded["arrivals"]["at_us"]) / 1e6) - np.median(drawn.at_ns / 1e9))
+    specs = {spec.number: spec for spec in drawn.partners}
+    for fit in recorded["fits"]:
+        spec = specs[fit["dest"]]
+        if spec.span_ns and fit["refused"] >= IN_A_ROW:
+            true = spec.limit / (spec.span_ns / 1e9)
+            if fit["limit_per_s"]:
+                seen["limit"].append(fit["limit_per_s"] / true - 1)
+            else:
+                seen["limit missed"].append(true)
+        elif not spec.span_ns and fit["limit_per_s"]:
+            seen["limit made up"].append(fit["limit_per_s"])
+        rows = np.flatnonzero(drawn.dest == spec.number)
+        if fit["latency"]["distance"] is not None:
+            alone = (
+                drawn.work_ns[rows, 0].mean() * spec.pace / 1e6 + 2 * drawn.delay_ns[spec.number - 1] / 1e6
+            )
+            seen["latency"].append(fit["latency"]["mean_ms"] / alone - 1)
+            seen["holds " + fit["latency"]["holds"]].append(1)
+        found = [(o["kind"], o["from_us"] / 1e6 - shift, o["until_us"] / 1e6 - shift) for o in fit["outages"]]
+        for kind, low, high in outages(drawn, spec.number):
+            near = [f for f in found if abs(f[1] - low) < NEAR_S and abs(f[2] - high) < NEAR_S]
+            calls = ((drawn.at_ns[rows] / 1e9 > low) & (drawn.at_ns[rows] / 1e9 < high)).sum()
+            if near:
+                found.remove(near[0])
+                seen[f"{kind}: found"].append(near[0][0] == kind)
+                seen["edges"] += [abs(near[0][1] - low), abs(near[0][2] - high)]
+            else:
+                seen[f"{kind}: missed" + (" (under three messages)" if calls < IN_A_ROW else "")].append(
+                    calls
+                )
+        seen["outages made up"] += found
+
+
+class Seen(dict):
+    """Lists by name."""
+
+    def __missing__(self, name):
+        self[name] = []
+        return self[name]
+
+
+def main():
+    """Compare all days of a folder; print what was seen."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("folder")
+    parser.add_argument("--shift", type=int, default=0)
+    chosen = parser.parse_args()
+    seen, days = Seen(), 0
+    for name, tables, seed in SCENARIOS:
+        place = Path(chosen.folder) / name.replace(" ", "-").replace(",", "")
+        files = sorted(place.glob("play-*/*.log"))
+        if not files:
+            continue
+        days += 1
+        drawn = day.draw(world((name, tables, seed)), seed + chosen.shift)
+        logs = [(file.name, file.read_bytes().splitlines()) for file in files]
+        compare(drawn, trace.record(logs, KEY), seen)
+    print(f"{days} days")
+    for name in sorted(seen):
+        values = seen[name]
+        if name in ("limit", "latency", "edges"):
+            low, mid, high = np.quantile(values, (0.05, 0.5, 0.95))
+            print(f"{name}: {len(values)}, middle {mid:+.2f}, 5% to 95% {low:+.2f} to {high:+.2f}")
+        elif name.endswith(": found"):
+            print(f"{name} {len(values)}, of these {sum(values)} of the right kind")
+        else:
+            print(f"{name}: {len(values)}")
+
+
+if __name__ == "__main__":
+    main()
--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -436,6 +436,13 @@
             endpoint.cold_ns = endpoint.cold_ns if lossy else self.now
             if endpoint.doubt > DOUBT:
                 endpoint.trial_ns = self.now  # one success among failures: look again at once
+                # Danger: of many senders each looks so at each endpoint of the line, and together they push
+                # over what is cold (rule 4). The line is back: its other endpoints wait for their part.
+                for sibling in self.siblings(endpoint) if self.settings.senders > FEW else ():
+                    if sibling.down:
+                        sibling.cold_ns = sibling.cold_ns or self.now
+                        next_ns = self.ramp_next(sibling, self.random.uniform(*JITTER))
+                        sibling.trial_ns = max(sibling.trial_ns, next_ns)
             else:
                 endpoint.down = False
                 endpoint.trials = 0
--- a/pinspread/fleet/fit.py
+++ b/pinspread/fleet/fit.py
@@ -7,6 +7,8 @@
 FAILURES = ("CONNECT_FAILED", "TIMEOUT", "ERROR", "RESET")
 IN_A_ROW = 3  # failures that make an outage
 SPAN_US = 1_000_000
+LONG_TOLD_US = 2_500_000  # a told wait longer than any limit's span: it is shut
+JOIN_US = 5_000_000  # spans of errors closer than this are one outage
 
 
 def fits(arrivals, outcomes) -> list:
@@ -71,7 +73,7 @@
 
 def _limit(ok, full):
     """Calls a second that went through where others were refused; 0 where no limit shows."""
-    told = [o for o in full if 0 < o[6] <= 2_500_000]
+    told = [o for o in full if 0 < o[6] <= LONG_TOLD_US]
     if len(told) < IN_A_ROW:
         return 0.0, "no limit shows"
     counts = []
@@ -83,36 +85,55 @@
     return max(1.0, mid), "well" if spread <= 0.3 * max(1.0, mid) else "roughly" if spread <= mid else "badly"
 
 
+KIND = {"CONNECT_FAILED": "crash", "TIMEOUT": "silent", "ERROR": "errors", "RESET": "crash", "FULL": "shut"}
+
+
+def _failed(one):
+    return one[4] in FAILURES or one[4] == "FULL" and one[6] > LONG_TOLD_US
+
+
 def _outages(found):
-    """Spans of failures in a row at one partner, with no success between them."""
-    outages, row = [], []
-
-    def close(until):
-        if len(row) >= IN_A_ROW:
-            words = [o[4] for o in row]
-            kind = max(("CONNECT_FAILED", "TIMEOUT", "ERROR", "RESET", "FULL"), key=words.count)
-            name = {
-                "CONNECT_FAILED": "crash",
-                "TIMEOUT": "silent",
-                "ERROR": "errors",
-                "RESET": "crash",
-                "FULL": "shut",
-            }
-            outages.append(
-                {
-                    "kind": name[kind],
-                    "from_us": max(0, row[0][1] - row[0][5]),
-                    "until_us": until,
-                    "failures": len(row),
-                }
-            )
-        row.clear()
+    """Failures in a row at one partner, with no success between them; those of fast errors are joined.
 
+    Nothing tells when an outage began but that it lies between the last success and the first failure: the
+    middle is taken, and of its end likewise.
+    """
+    rows, row, ok = [], [], []  # of (failures, last success before, first success after), microseconds
     for one in found:
-        if one[4] in FAILURES or one[4] == "FULL" and one[6] > 2_500_000:
+        if _failed(one):
             row.append(one)
         elif one[4] == "OK":
-            close(one[1] - one[5])
-    if row:
-        close(row[-1][1])
-    return outages
+            if len(row) >= IN_A_ROW:
+                rows.append((row, ok[-1] if ok else None, one[1] - one[5]))
+            row = []
+            ok.append(one[1])
+    if len(row) >= IN_A_ROW:
+        rows.append((row, ok[-1] if ok else None, None))
+    return _joined([_outage(*one) for one in rows])
+
+
+def _outage(row, before, after):
+    first, last = row[0][1] - row[0][5], row[-1][1]
+    words = [o[4] for o in row]
+    kind = KIND[max(KIND, key=words.count)]
+    if kind == "shut":  # its refusals tell when it opens
+        last = after = max(o[1] + o[6] for o in row)
+    return {
+        "kind": kind,
+        "from_us": max(0, first if before is None else min(first, (before + first) // 2)),
+        "until_us": last if after is None else max(last, (last + after) // 2),
+        "failures": len(row),
+    }
+
+
+def _joined(outages):
+    """Fast errors let some calls through: spans of them that lie close together are one outage."""
+    joined = []
+    for one in outages:
+        last = joined[-1] if joined else None
+        if last and one["kind"] == last["kind"] == "errors" and one["from_us"] - last["until_us"] < JOIN_US:
+            last["until_us"] = one["until_us"]
+            last["failures"] += one["failures"]
+        else:
+            joined.append(one)
+    return joined
--- a/pinspread/fleet/loopback/parties.py
+++ b/pinspread/fleet/loopback/parties.py
@@ -85,15 +85,17 @@
 class Client:
     """A client of the platform's RESP2."""
 
-    def __init__(self, address):
+    def __init__(self, address, again=False):
+        """With `again`, a kept connection that the courier has closed is dialled again, once."""
         host_, port = sockets.split_address(address)
         self.address = host_, port
+        self.again = again
         self.stream = None
         self.serial = 0
 
     async def say(self, *words):
-        """One command and its answer; a kept connection that the courier has closed is dialled again, once."""
-        kept = self.stream is not None
+        """One command and its answer."""
+        kept = self.again and self.stream is not None
         try:
             return await self._say(words)
         except (anyio.EndOfStream, anyio.BrokenResourceError):
--- a/pinspread/fleet/loopback/stage.py
+++ b/pinspread/fleet/loopback/stage.py
@@ -419,6 +419,7 @@
     def _read_logs(self):
         """Probes and branches that reached nobody are known to the couriers alone."""
         begun = time.time() - self.engine.now / SECOND
+        failed = []  # (courier, partner, time) of what failed
         self.calls_at, self.retries_at, self.probes = [], [], 0
         for process in self.processes:
             for line in Path(process.log.name).read_bytes().splitlines():
@@ -426,6 +427,9 @@
                     event = orjson.loads(line)
                 except orjson.JSONDecodeError:
                     continue  # cut by a kill
+                if event.get("event") in ("probe", "branch") and event["verdict"] not in ("OK", "MOOT"):
+                    number = self.endpoints[int(event["hop"][1:])].partner.number
+                    failed.append((process.number, number, int((event["at_us"] / 1e6 - begun) * SECOND)))
                 if event.get("event") == "probe":
                     self.probes += 1
                 elif event.get("event") == "branch" and event["verdict"] != "MOOT":
@@ -433,6 +437,16 @@
                     self.calls_at.append(at)
                     if event["n"]:
                         self.retries_at.append(at)
+        self._blame(failed)
+
+    def _blame(self, failed):
+        """Rule `cold` from the logs: who was refused a connection is known to nobody else."""
+        self.checker.counts["cold"] = 0
+        self.checker.breaks = [b for b in self.checker.breaks if b["rule"] != "cold"]
+        for one in self.partners.values():
+            for now, struck_ns, pushed in one.fallen:
+                knew = {c for c, number, at in failed if number == one.number and struck_ns <= at < now}
+                self.checker.fell(one.number, now, sum(c in knew for c in pushed), len(pushed))
 
     def _listen(self, closing, stand_in, address):
         sock = sockets.listen(address)
@@ -540,7 +554,7 @@
         id_ = f"{row:08x}{int(self.habits.tries[row]):02x}{whole(day.seed, 'id', row, self.unanswered) & 0xFFFFFF:06x}"
         cls, team = world.classes[day.cls[row]].name, world.teams[day.team[row]].name
         options = f"c={cls},t={team},d={left_ms},k={row:016x},dest={int(day.dest[row])}"
-        client = process.clients.pop() if process.clients else Client(process.address)
+        client = process.clients.pop() if process.clients else Client(process.address, again=True)
         self.taken[id_] = row  # it may be taken on though its answer is lost
         try:
             with anyio.fail_after(CLIENT_WAITS_S):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -679,6 +679,26 @@
     assert sum(len(endpoint.calls) for endpoint in both) <= 1
 
 
+@pytest.mark.parametrize(("senders", "waits"), [(3, False), (12, True)])
+def test_rule_4_a_line_that_is_back_is_not_looked_at_by_all_at_each_endpoint(senders, waits):
+    desk = Desk(endpoints=(("a", 1), ("b", 1)), senders=senders)
+    desk.take()
+    for _ in range(2):
+        desk.end(1, CONNECT_FAILED, after=MS)
+        desk.turn(after=20 * MS)
+    a, b = (desk.sender.endpoints[name] for name in "ab")
+    assert a.down and b.down
+    sent = desk.sent(desk.take(2))
+    while not (a.calls or b.calls):
+        sent = desk.sent(desk.turn(after=SECOND))
+    looked = a if a.calls else b
+    desk.end(sent[0] if sent else 1, after=MS)
+    other = b if looked is a else a
+    assert other.down and bool(other.cold_ns) == waits  # its ramp has begun, and it is looked at as it grows
+    assert not waits or other.trial_ns > desk.now + SECOND
+    assert looked.trial_ns <= desk.now  # the one that answered is looked at again at once
+
+
 def test_volley_of_refusals_counts_once():
     desk = Desk(calls_out=20)
     desk.take(6)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -422,12 +422,12 @@
 """
 
 
-def test_the_same_file_gives_the_same_bytes_in_one_process_and_in_more(tmp_path):
+def test_the_same_file_gives_the_same_bytes_in_one_process_and_in_eight(tmp_path):
     (tmp_path / "x.toml").write_text(SMALL)
     one = experiment.load(str(tmp_path / "x.toml"))
-    for name, processes in (("one", 1), ("more", 2)):
+    for name, processes in (("one", 1), ("eight", 8)):
         runs.run(one, str(tmp_path / name), processes, quiet=True)
-    assert (tmp_path / "one/result.json").read_bytes() == (tmp_path / "more/result.json").read_bytes()
+    assert (tmp_path / "one/result.json").read_bytes() == (tmp_path / "eight/result.json").read_bytes()
     manifest = orjson.loads((tmp_path / "one/manifest.json").read_bytes())
     assert manifest["runs_done_now"] == 4 and manifest["versions"]["numpy"] and manifest["seeds"] == [1, 2]
 
@@ -577,6 +577,15 @@
     assert (verdict == "connect_failed") == (found["verdicts"].get("connect_failed", 0) > 0)
 
 
+@pytest.mark.parametrize("seed", [21, 38])
+def test_many_couriers_do_not_push_over_what_returns_cold(seed):
+    # With a look at once at each endpoint by each courier, rule `cold` broke on these days with 8 of 8 seeds.
+    down = {"kind": "crash", "at_s": 8, "length_s": 12, "share": 0.2}
+    world = World.model_validate({"length_s": 34, "couriers": {"count": 6}, "trouble": [down]})
+    found = [simulate.Fleet(world, day.draw(world, seed), n).run() for n in range(3)]
+    assert sum(bool(one["broken"]) for one in found) <= 1
+
+
 def test_a_run_is_not_found_again_by_its_traces_name_when_what_is_in_it_has_changed(tmp_path):
     keys = []
     for count in (20, 30):
@@ -646,6 +655,26 @@
     assert found["limit_per_s"] == pytest.approx(9, abs=2) and found["tells"] == 1
 
 
+@pytest.mark.parametrize(
+    ("failures", "expected"),
+    [  # (ms of the end, verdict, wait in ms), after successes up to 1 s and before one from 9 s on
+        ([(3000, "CONNECT_FAILED", 0), (4000, "RESET", 0), (5000, "RESET", 0)], ("crash", 1995, 7000)),
+        ([(2000, "ERROR", 0), (2100, "ERROR", 0), (2200, "ERROR", 0), (4000, "OK", 0), (5000, "ERROR", 0),
+          (5100, "ERROR", 0), (5200, "ERROR", 0)], ("errors", 1495, 7100)),
+        ([(2000, "FULL", 6000), (3000, "FULL", 5000), (3100, "FULL", 4900)], ("shut", 1495, 8000)),
+        ([(2000, "FULL", 300), (2100, "FULL", 200), (2200, "FULL", 100)], None),
+        ([(2000, "TIMEOUT", 0), (2100, "TIMEOUT", 0)], None),
+    ],
+)  # fmt: skip
+def test_an_outage_is_placed_between_the_successes_round_it(failures, expected):
+    rows = [[0, n * 100_000, 1, "h", "OK", 10_000, 0, 0] for n in range(11)]
+    rows += [[0, at * 1000, 1, "h", verdict, 10_000, wait * 1000, 0] for at, verdict, wait in failures]
+    rows += [[0, 9_010_000, 1, "h", "OK", 10_000, 0, 0]]
+    (found,) = fit.fits({"dest": [1]}, rows)
+    told = [(o["kind"], round(o["from_us"] / 1000), round(o["until_us"] / 1000)) for o in found["outages"]]
+    assert told == ([expected] if expected else [])
+
+
 # --- what the serving process loads -----------------------------------------------------------------
 
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -87,7 +87,7 @@
         ):
             tasks.start_soon(listener.serve, one_answer)
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
-            client = Client(f"127.0.0.1:{port}")
+            client = Client(f"127.0.0.1:{port}", again=True)
             for _ in range(3):
                 assert await client.say("PING") == "+OK\r\n"
                 await anyio.sleep(0.02)  # the close comes in
@@ -120,3 +120,12 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(scene)
+
+
+@pytest.mark.parametrize(("failed_at_s", "broken"), [(6.0, True), (1.0, False), (12.0, False)])
+def test_who_was_refused_a_connection_is_read_from_the_logs(failed_at_s, broken, tmp_path):
+    world = World.model_validate(CALM)
+    play = stage.Stage(world, day.draw(world, 3), tmp_path)
+    play.partners[1].fallen.append((int(11e9), int(5e9), [0, 0, 1]))  # down at 5 s, pushed over at 11 s
+    play._blame([(0, 1, int(failed_at_s * 1e9)), (1, 2, int(6e9))])
+    assert bool(play.checker.counts["cold"]) == broken
