Open broken watches of discovery again by turns of the fleet, not five times a second each

Ruled out: a bound on the number of watches (8 of 15 that were up ended with the kill, and nobody took their places), dials, and the couriers' own time (ready 0.3 s after the start).

At fault: net/discovery.py `_follow`, which waited a constant 0.2 s without chance, and so asked 165 times a second with 33 couriers. Now `again_s`: 0.2 s for up to four couriers, scaled from half to one and a half by chance; for more it grows with their number, and doubles at most twice while no watch comes up.

The new tests fail with the constant wait.

--- a/pinspread/net/discovery.py
+++ b/pinspread/net/discovery.py
@@ -1,5 +1,7 @@
 """The platform's discovery: a watch that is opened again whenever it breaks or falls silent."""
 
+import random
+
 import anyio
 import orjson
 
@@ -10,11 +12,24 @@
 from pinspread.net.sockets import dial
 
 SILENT_S = 5.0  # an empty line comes every 2 s
-AGAIN_S = 0.2
+AGAIN_S = 0.2  # before a watch that broke is opened again, where few couriers share a discovery
+FEW = 4  # couriers that may open theirs so often; more take their turns
+MOST_STEPS = 2  # in which that wait doubles while no watch comes up
 MOST_LINE = 4 << 20
 STATES = {"ready": ListState.READY, "draining": ListState.DRAINING, "gone": ListState.GONE}
 
 
+def again_s(failed: int, couriers: int, chance: float) -> float:
+    """Seconds until a watch is opened again that failed that often in a row; chance is 0 to 1."""
+    # Danger: a discovery that is overbooked, or was away, is asked by the whole fleet in one instant and then
+    # five times a second by each; it turns all away, and nobody learns of anything any more. What a fleet
+    # asks for in a second is what few couriers ask for, and less while it is turned away. It could hurt where
+    # one courier alone lost its watch: it is blind for seconds.
+    fleet = max(1.0, couriers / FEW)
+    steps = min(failed, MOST_STEPS) * (1 - 1 / fleet)
+    return AGAIN_S * fleet * 2**steps * (0.5 + chance)
+
+
 class Discovery:
     """Follows the list of endpoints and hands what changes to the core."""
 
@@ -23,6 +38,8 @@
         self.courier = courier
         self.told = told
         self.seq = 0
+        self.failed = 0  # watches in a row that did not come up
+        self.random = random.Random(told.seed)
         self.tasks = None
         self.current = None  # the scope of the task whose watch is followed
 
@@ -54,7 +71,8 @@
                     await self._watch(address, scope)
                 except (OSError, ValueError, TimeoutError) as error:
                     log("watch_broke", address=address, error=str(error) or type(error).__name__)
-                await anyio.sleep(AGAIN_S)
+                await anyio.sleep(again_s(self.failed, self.told.module.senders, self.random.random()))
+                self.failed += 1
 
     def _up(self, scope):
         """Its watch has been answered: it takes the place of the one before."""
@@ -74,6 +92,7 @@
                 status, _ = await exchange.response()
             if status != 200:
                 raise ValueError(f"discovery answered {status}")
+            self.failed = 0
             if address == self.address:
                 self._up(scope)
             held = b""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,9 +11,9 @@
 import pytest
 from standins import Client, HttpStandIn, configuration, courier, host, listener, own_address, standing, until
 
-from pinspread.interface import ListScope, ListState
+from pinspread.interface import AttemptEnded, ListScope, ListState
 from pinspread.net import sockets
-from pinspread.net.discovery import Discovery
+from pinspread.net.discovery import Discovery, again_s
 
 pytestmark = pytest.mark.anyio
 OK = (200, [], b"")
@@ -589,6 +589,39 @@
             assert code == 0
 
 
+@pytest.mark.parametrize(("couriers", "least", "most"), [(3, 3, 12), (40, 0, 1)])
+async def test_a_discovery_that_turns_all_away_is_asked_by_turns_of_the_fleet(
+    tmp_path, couriers, least, most
+):
+    overbooked = HttpStandIn(lambda request: (503, [], b""))
+    async with standing(overbooked) as address, courier(tmp_path) as rig:
+        rig.courier.settings.module.senders = couriers
+        rig.tasks.start_soon(Discovery(address, rig.courier, rig.courier.settings).run)
+        await until(lambda: overbooked.requests)
+        await anyio.sleep(0.95)  # one of 40 waits for a second at least
+        assert least <= len(overbooked.requests) - 1 <= most
+
+
+@pytest.mark.parametrize("couriers", [1, 3, 12, 40, 120])
+def test_watches_that_break_together_come_back_spread_and_no_fleet_asks_more_than_a_few(couriers):
+    few = 4 / 0.1  # four couriers at their shortest waits
+    for failed in range(8):
+        waits = [again_s(failed, couriers, (n + 0.5) / couriers) for n in range(couriers)]
+        assert sum(wait < 1.0 for wait in waits) <= few
+        assert couriers <= 4 or max(waits) - min(waits) >= 0.9 * 0.2 * couriers / 4
+    assert couriers > 4 or max(waits) <= 0.3  # and few are as quick as ever
+
+
+async def test_the_module_hears_which_calls_had_a_connection_opened_for_them(tmp_path, monkeypatch):
+    hop, heard = scripted((503, [], b""), (503, [], b"")), []
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        post = rig.courier.post
+        monkeypatch.setattr(rig.courier, "post", lambda event: (heard.append(event), post(event)))
+        await Client(rig.address).enqueue()
+        await until(lambda: not rig.courier.ids)
+    assert [event.opened for event in heard if type(event) is AttemptEnded] == [True, False, False]
+
+
 async def test_a_watch_that_moves_keeps_the_old_one_until_the_new_one_is_up(tmp_path):
     news = orjson.dumps({"seq": 5, "whole": True, "hosts": [host("s-1", "127.0.0.1:9")]}) + b"\n"
     stays = HttpStandIn(lambda request: (200, [], news))
