--- a/pinspread/fleet/courier.py
+++ b/pinspread/fleet/courier.py
@@ -10,6 +10,7 @@
 from pinspread.net.http import IDLE_SHARE
 
 Verdict = api.Verdict
+TELLS_OPENED = hasattr(api.AttemptEnded, "opened")  # older versions of the module do not ask for it
 LINGER_NS = 500 * MS  # and newcomers hear busy answers at least so long
 DRAIN_NS = 3200 * MS  # after SIGTERM: what is out has so long to end
 NEVER_RAN = (Verdict.FULL, Verdict.CONNECT_FAILED, Verdict.MOOT)
@@ -410,11 +411,12 @@
             held.client.ended(held.row, "delivered", 0)
         checker.outcome(self.number, now, held.number, verdict, call.sent_ns or now, wait_ns, dest, done)
         self.fleet.outcome(verdict)
-        self.post(
-            api.AttemptEnded(
-                held.number, call.attempt, endpoint.id, verdict, now - call.started_ns, done, wait_ns
-            )
+        event = api.AttemptEnded(
+            held.number, call.attempt, endpoint.id, verdict, now - call.started_ns, done, wait_ns
         )
+        if TELLS_OPENED:
+            event.opened = call.fresh
+        self.post(event)
 
     def _probe(self, id_, now):
         endpoint = self.fleet.endpoints[id_]
