--- /dev/null
+++ b/benchmarks/many.py
@@ -0,0 +1,21 @@
+"""One partner before fleets of several sizes: `python benchmarks/many.py [DAYS]`, a row a size, means over days."""
+
+import sys
+
+from pinspread.fleet.crowd import FULL, OK, clump, lowered
+
+
+def main(days):
+    """Print what a lowered limit and a clump at one sender leave to the fleet."""
+    print("senders  served 13-19 s  22-30 s  refused  clump: others  the one")
+    for senders in (3, 12, 40, 120):
+        rows = []
+        for seed in range(1, days + 1):
+            partner, (first, *others) = lowered(senders, seed=seed), clump(senders, seed=seed)
+            spans = (13, 19, OK), (22, 30, OK), (0, 42, FULL)
+            rows.append([*(partner.between(*span) for span in spans), sum(others), first])
+        print(f"{senders:7}" + "".join(f"{sum(column) / days:12.1f}" for column in zip(*rows, strict=True)))
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 5)
--- /dev/null
+++ b/pinspread/fleet/crowd.py
@@ -0,0 +1,101 @@
+"""Many real senders against one partner in virtual time: what each does has to fit the sum of all.
+
+Smaller than the model's days, whose limits are fixed spans: here a refused call uses up the limit of any second
+that it lies in, as seen of partners whose limits jam.
+"""
+
+import random
+from collections import deque
+from heapq import heappop, heappush
+from itertools import count
+
+from pinspread import interface as api
+from pinspread.decide import MS, SECOND, Sender
+
+OK, FULL = api.Verdict.OK, api.Verdict.FULL
+
+
+def settings(senders):
+    """What each of so many senders is told: one repeatable class, an exact listed rate."""
+    return api.Settings(
+        classes=[api.TrafficClass(4 * SECOND, 20 * SECOND, late_share=0.3)],
+        kinds=[api.Kind()],
+        calls_out=5,
+        most_held=100,
+        max_attempts=6,
+        senders=senders,
+        weights_known=True,
+        weights_exact=True,
+        may_tell_wait=True,
+        max_come_back_ns=2 * SECOND,
+        keepalive_ns=15 * SECOND,
+        cold_from=0.2,
+        cold_ns=9 * SECOND,
+        tip_multiple=2.0,
+    )
+
+
+class Partner:
+    """Takes `limit(s)` calls in any second; refused calls use that up too, and no wait is told."""
+
+    def __init__(self, limit):
+        self.limit = limit
+        self.lately = deque()
+        self.answers = []  # (at, verdict)
+
+    def call(self, now):
+        while self.lately and self.lately[0] <= now - SECOND:
+            self.lately.popleft()
+        verdict = FULL if len(self.lately) >= self.limit(now / SECOND) else OK
+        self.lately.append(now)
+        self.answers.append((now, verdict))
+        return verdict
+
+    def between(self, start, end, verdict):
+        return sum(v is verdict and start * SECOND <= at < end * SECOND for at, v in self.answers)
+
+
+def play(senders, limit, rates, span, seed=1):
+    """Poisson traffic of `rates` messages a second at each sender for `span` s; (partner, delivered)."""
+    chance = random.Random(seed)
+    partner = Partner(limit)
+    told = settings(senders)
+    entry = api.ListEntry("a", 1, weight=limit(0))
+    fleet = [Sender(told, seed=seed * 1000 + n) for n in range(senders)]
+    heap, order, ids, attempts = [], count(), count(1), {}
+    delivered = [0] * senders
+
+    def at(when, n, event):
+        heappush(heap, (int(when), next(order), n, event))
+
+    for n, rate in enumerate(rates):
+        at(0, n, api.ListChanged(api.ListScope.CACHED, [entry]))
+        when = chance.expovariate(rate)
+        while when < span:
+            at(when * SECOND, n, api.MessageTaken(next(ids), 0, 1, int((when + 12) * SECOND)))
+            when += chance.expovariate(rate)
+    while heap and heap[0][0] < (span + 12) * SECOND:
+        now, _, n, event = heappop(heap)
+        for action in fleet[n].handle(now, [event]):
+            if type(action) is api.SetTimer:
+                at(now + action.delay_ns, n, api.TimerDue(action.tag))
+            elif type(action) is api.Send:
+                number = attempts[action.request] = attempts.get(action.request, -1) + 1
+                verdict = partner.call(now)
+                delivered[n] += verdict is OK
+                took = 50 * MS
+                ended = api.AttemptEnded(action.request, number, "a", verdict, took, verdict is OK)
+                at(now + took, n, ended)
+    return partner, delivered
+
+
+def lowered(senders, limit=40.0, load=0.8, to=0.4, seed=1):
+    """The partner of a 30 s day whose limit falls to a part of itself from 10 s to 19 s."""
+    rates = [load * limit / senders] * senders
+    return play(senders, lambda s: to * limit if 10 <= s < 19 else limit, rates, 30, seed)[0]
+
+
+def clump(senders, limit=40.0, load=0.7, seed=2):
+    """Deliveries of each sender of a 10 s day on which the first is handed the whole limit's worth."""
+    rates = [limit, *[load * limit / senders] * (senders - 1)]
+    return play(senders, lambda s: limit, rates, 10, seed)[1]
