Take over new settings at SIGHUP, whole or not at all, and keep each message's rules

Cause: platform._move took over discovery and notices only; Courier.unknown asked the settings of the start. Checked: tests/test_settings.py (every truncation, broken files, sequences of rewrites and restarts, a real process).

--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -55,7 +55,7 @@
             from pinspread.net import platform
 
             signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a configuration to read again
-            anyio.run(platform.serve, settings.from_environment(), settings.amqp_file(), reread)
+            anyio.run(platform.serve, settings.at_start(), settings.amqp_file(), reread)
     except settings.SettingsError as error:
         print(error, file=sys.stderr)
         return 2
@@ -80,10 +80,10 @@
     return 0
 
 
-def reread():
-    """Where the configuration file has discovery, which hears notices too, by now."""
-    address = settings.from_environment().discovery
-    return address, address
+def reread(last):
+    """The configuration file by now, where it has discovery, and where it has notices."""
+    told = settings.from_environment(last=last)
+    return told, told.discovery, told.discovery
 
 
 def config(chosen):
@@ -135,9 +135,9 @@
         wanted = file.discovery
         return dnssd.DnsSd(courier, records(file), wanted.services, wanted.refresh_s)
 
-    def again():
+    def again(_):
         file = application.load(path)
-        return records(file), file.notices.address if file.notices else ""
+        return application.told(file), records(file), file.notices.address if file.notices else ""
 
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     anyio.run(platform.serve, application.told(file), amqp, again, discover, file.brokers.login())
--- a/pinspread/amqp/front.py
+++ b/pinspread/amqp/front.py
@@ -494,7 +494,6 @@
         self.post(channel.number, commands.Basic.Ack(tag, False))
 
     def _transaction(self, properties, body, method):
-        told = self.courier.settings
         headers = {name: properties.headers.get(name) for name in HEADERS} if properties.headers else {}
         try:
             cls, tenant = str(headers.get("class") or ""), str(headers.get("tenant") or "")
@@ -508,7 +507,7 @@
             idempotency = str(headers.get("idempotency-key") or "")
             if idempotency:
                 resp.name(idempotency.encode(), "idempotency-key")
-            deadline_ms = told.module.classes[told.classes[cls]].deadline_ns // 1_000_000
+            deadline_ms = self.courier.settings.rules[cls].cls.deadline_ns // 1_000_000
             expiration = properties.expiration or str(deadline_ms)
             for_ms = resp.number(expiration, "expiration", resp.MOST_FOR_MS)
             key = key_number(str(headers.get("key") or "0"))
@@ -521,7 +520,7 @@
             cls=cls,
             tenant=tenant,
             dest=dest,
-            key=key if cls in told.keyed else 0,
+            key=key,
             idempotency=idempotency,
             until_unix_us=clock.unix(clock.now()) + for_ms * 1000,
             body=body,
--- a/pinspread/config/dnssd.py
+++ b/pinspread/config/dnssd.py
@@ -127,6 +127,9 @@
         """The module asks for the list's changes: they come with the next refresh."""
         self.courier.learn(ListScope.DELTA, [])
 
+    def settle(self, told):
+        """The core has other settings: kinds are read by them at the next refresh."""
+
     def move(self, records):
         """The records are to be had elsewhere from now on."""
         self.records = records
--- a/pinspread/config/settings.py
+++ b/pinspread/config/settings.py
@@ -2,6 +2,7 @@
 
 import os
 import tomllib
+import zlib
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -9,7 +10,11 @@
 
 from pinspread import interface as api
 from pinspread import wire
+from pinspread.core.log import log
+from pinspread.core.transactions import Rules
 
+GOOD = "configuration.good"  # in the folder that lasts
+GOOD_SHARE = 0.015  # of the folder's room, for each of its file and the next one
 AMQP_FILE = Path(__file__).parents[2] / "deploy" / "amqp.toml"
 
 
@@ -31,23 +36,20 @@
     memory_bytes: int
     known: dict
     module: api.Settings
-    classes: dict  # name -> place in the module's settings
-    keyed: frozenset  # names of the classes that keep their order
-    tenants: dict
+    rules: dict  # name of a class -> the rules of what is taken on under it
+    tenants: dict  # name -> place in the module's settings; so are kinds and zones
     kinds: dict
     zones: dict
     dial_us: int
     keepalive_us: int
     admin: str = ""  # where the operators' door listens; empty: it is off
+    parts: frozenset = frozenset()  # paths of the settings' parts that are no lists
+    raw: bytes = b""  # the file as it was read
 
     @property
     def max_come_back_ms(self):
         return self.module.max_come_back_ns // 1_000_000
 
-    def knows(self, cls, tenant):
-        """Whether the module can decide for such a message."""
-        return cls in self.classes and tenant in self.tenants
-
 
 def flatten(value, path=""):
     """Nested settings as the path=value lines of the simulator's wire."""
@@ -89,17 +91,59 @@
         raise SettingsError(f"{path}: {error}") from None
 
 
-def from_environment(env=os.environ) -> Told:
-    """The configuration file, with the environment's word where both speak (but for discovery)."""
+def from_environment(env=os.environ, last: Told | None = None) -> Told:
+    """The configuration file, with the environment's word where both speak (but for discovery).
+
+    With `last`, the settings in force, one that is short of a part of those is refused.
+    """
     path = env.get("RELAY_CONFIG")
     if not path:
         raise SettingsError("RELAY_CONFIG names no configuration file")
     try:
         with open(path, "rb") as file:
-            told = orjson.loads(file.read())
+            raw = file.read()
+        told = read(orjson.loads(raw), env)
     except (OSError, orjson.JSONDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from None
-    return read(told, env)
+    lacks = sorted(last.parts - told.parts) if last else ()
+    if lacks:
+        # Danger: many parts have a default, and a file that lost one would put that in force unseen.
+        raise SettingsError(f"{path}: {', '.join(lacks)} is missing; the settings in force have it")
+    told.raw = raw
+    return told
+
+
+def at_start(env=os.environ) -> Told:
+    """The configuration at a start: the file, or what was last good where that is broken."""
+    try:
+        return from_environment(env)
+    except SettingsError as error:
+        kept = Path(env.get("RELAY_STATE", "")) / GOOD
+        try:
+            raw = zlib.decompress(kept.read_bytes())
+            told = read(orjson.loads(raw), env)
+        except (OSError, ValueError, zlib.error):
+            raise error from None
+        # Danger: a start that finds the file broken would end, and all that is owed would wait for staff.
+        log("configuration_unusable", error=str(error), instead=str(kept))
+        told.raw = raw
+        return told
+
+
+def keep_good(told: Told):
+    """Keep what is in force, for a start that finds the file broken; without room only the log says so."""
+    if not told.raw:
+        return  # an application's file, which is no platform's
+    packed = zlib.compress(told.raw)
+    try:
+        if len(packed) > told.disk_bytes * GOOD_SHARE:
+            raise OSError(f"{len(packed)} bytes are not kept")
+        kept = Path(told.state) / GOOD
+        fresh = kept.with_suffix(".new")
+        fresh.write_bytes(packed)
+        fresh.rename(kept)
+    except OSError as error:
+        log("configuration_not_kept", error=str(error))
 
 
 def read(told: dict, env) -> Told:
@@ -121,20 +165,37 @@
             memory_bytes=int(told["limits"].get("memory_mb", 192) * 1_000_000),
             known=told["known"],
             module=module,
-            classes=_places(settings["lanes"]),
-            keyed=frozenset(lane["name"] for lane in settings["lanes"] if lane.get("serialByKey")),
+            rules=_rules(settings["lanes"], module),
             tenants=_places(settings.get("projects") or [{"name": ""}]),
             kinds={name: n for n, name in enumerate(settings["shapes"])},
             zones={name: n for n, name in enumerate(settings["zones"])},
             dial_us=limits["dialTimeoutNs"] // 1000,
             keepalive_us=limits["keepaliveNs"] // 1000,
             admin=env.get("RELAY_ADMIN_ADDR") or told.get("admin_addr") or "",
+            parts=frozenset(_parts(settings)),
         )
     except KeyError as error:
         raise SettingsError(f"configuration: {error.args[0]} is missing") from None
-    except (TypeError, ValueError) as error:
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
         raise SettingsError(f"configuration: {error}") from None
 
 
+def _rules(lanes, module):
+    found = {}
+    for lane, cls in zip(lanes, module.classes, strict=True):
+        if lane["name"] in found:
+            raise ValueError(f"class {lane['name']!r} is named twice")
+        found[lane["name"]] = Rules(cls, module.max_attempts)
+    return found
+
+
+def _parts(value, path=""):
+    """The paths of what is no list: those may grow and shrink."""
+    for name, inner in value.items():
+        yield path + name
+        if isinstance(inner, dict):
+            yield from _parts(inner, f"{path}{name}.")
+
+
 def _places(named):
     return {item["name"]: n for n, item in enumerate(named)}
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -70,8 +70,9 @@
                 # Danger: it was out when the process ended, and may have run or still run.
                 t.may_run_us = t.may_run_us or t.live_us
                 t.live_us = 0
-            if t.final is None and not self.settings.knows(t.cls, t.tenant):
-                t.final = Final(State.FAILED)  # the settings have changed: nothing can be decided for it
+            t.rules = t.rules or self.settings.rules.get(t.cls)
+            if t.final is None and t.rules is None:
+                t.final = Final(State.FAILED)  # an older version took it, and the settings have changed since
             if t.final is not None:
                 self._owe_notice(t)
             else:
@@ -81,7 +82,7 @@
 
     def unknown(self, cls, tenant, dest) -> str:
         """What of a message nothing can be decided for; empty if all is known."""
-        if not self.settings.knows(cls, tenant):
+        if cls not in self.settings.rules or tenant not in self.settings.tenants:
             return f"unknown class or tenant: {cls[:32]!r}, {tenant[:32]!r}"
         # Danger: taken on for a partner that does not exist, a message fills a place until its time is up.
         if self.dests and dest not in self.dests:
@@ -100,6 +101,9 @@
         if len(self.open) >= self.settings.module.most_held:
             raise Busy(BUSY_MS, "holds all it may")
         transaction.number = next(self.numbers)
+        transaction.rules = self.settings.rules[transaction.cls]
+        if not transaction.rules.cls.in_order:
+            transaction.key = 0
         try:
             self.journal.taken(transaction)
         except JournalFull as error:
@@ -118,6 +122,11 @@
             for_ms=(transaction.until_unix_us - self.clock.unix(self.clock.now())) // 1000,
         )
 
+    def settle(self, told):
+        """Other settings count from now on; what is open keeps the rules that it was taken on under."""
+        self.settings = told
+        self.post(api.SettingsChanged(told.module))
+
     def withdraw(self, transaction: Transaction):
         """Nobody wants it any more, and nothing is owed for it."""
         if self.open.pop(transaction.number, None) is not None:
@@ -410,13 +419,15 @@
         self.post(
             api.MessageTaken(
                 request=t.number,
-                cls=self.settings.classes[t.cls],
+                cls=0,
                 destination=t.dest,
                 deadline_ns=clock.monotonic(t.until_unix_us) * 1000,
                 key=t.key,
-                tenant=self.settings.tenants[t.tenant],
+                tenant=self.settings.tenants.get(t.tenant, 0),
                 attempts=t.branches,
                 may_run_ns=clock.monotonic(t.may_run_us) * 1000 if t.may_run_us else 0,
+                rule=t.rules.cls,
+                max_attempts=t.rules.max_attempts,
             )
         )
 
--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -11,7 +11,8 @@
 
 import orjson
 
-from pinspread.core.transactions import Final, State, Transaction
+from pinspread.core.transactions import Final, Rules, State, Transaction
+from pinspread.interface import Effect, Group, TrafficClass
 
 _HEAD = struct.Struct("<II")
 _NUMBER = struct.Struct("<BQ")
@@ -20,10 +21,11 @@
 _FINAL = struct.Struct("<BQBI")  # state, after_ms
 _SUMMARY = struct.Struct("<BQBQQ")  # branches, first that may have run, the one that is out
 _TAKEN = struct.Struct("<BQH")  # length of the JSON that comes before the body
-TAKEN, BRANCH, BRANCH_END, FINAL, ENDED, SUMMARY, PAST, BAN, UNBAN = range(1, 10)
+TAKEN, BRANCH, BRANCH_END, FINAL, ENDED, SUMMARY, PAST, BAN, UNBAN, RULES = range(1, 11)
 
 SMALL = 2 * _HEAD.size + _SUMMARY.size + _FINAL.size  # what a live transaction adds to its TAKEN record
 MOST_RECORD = 1 << 20
+TOLD = ("id", "cls", "tenant", "dest", "key", "idempotency", "until_unix_us", "front", "reply")
 
 
 class JournalFull(Exception):
@@ -36,10 +38,7 @@
     def __init__(self, folder: str, limit_bytes: int):
         self.path = Path(folder) / "journal"
         self.fresh = Path(folder) / "journal.new"
-        # Danger: while it is rewritten both files count, each in whole blocks; the sum must stay under.
-        self.most = limit_bytes * 48 // 100
-        self.most_live = self.most * 85 // 100
-        self.most_past = self.most * 5 // 100  # the rest is for branches and ends, which are never refused
+        self.resize(limit_bytes)
         self.size = 0
         self.live_bytes = 0
         self.live: dict[int, Transaction] = {}
@@ -47,12 +46,23 @@
         self.past: dict[str, int] = {}  # ids that are over, oldest first, and the sizes of their records
         self.past_bytes = 0
         self.bans: dict[str, None] = {}  # endpoints that operators have taken out
+        self.rules: dict[Rules, int] = {}  # those that records name, and their numbers
+        self.latest: Rules | None = None
+        self.numbered: dict[int, Rules] = {}  # number -> rules, while the file is read
         self.fd = -1
 
+    def resize(self, limit_bytes: int):
+        """Another bound counts from now on; a file that is over it is rewritten at its next record."""
+        # Danger: while it is rewritten both files count, each in whole blocks; the sum must stay under.
+        self.most = limit_bytes * 48 // 100
+        self.most_live = self.most * 85 // 100
+        self.most_past = self.most * 5 // 100  # the rest is for branches and ends, which are never refused
+
     def open(self) -> list[Transaction]:
         """Recover what is owed, in the order taken, and start a fresh file with it."""
         self.fresh.unlink(missing_ok=True)  # never renamed: the old file is still whole
         data = self.path.read_bytes() if self.path.exists() else b""
+        self.numbered = {}
         for payload in records(data):
             self._replay(payload)
         self._rewrite()
@@ -65,7 +75,7 @@
 
     def taken(self, transaction: Transaction):
         """Before the caller is told that it was taken on."""
-        record = _taken(transaction)
+        record = self._taken(transaction)
         need = len(record) + SMALL
         if self.live_bytes + need > self.most_live:
             raise JournalFull("what is owed fills the journal")
@@ -107,6 +117,22 @@
         else:
             self.bans.pop(id_, None)
 
+    def _taken(self, t):
+        told = {name: getattr(t, name) for name in TOLD}
+        if t.rules:
+            told["rules"] = self._number(t.rules)
+        text = orjson.dumps(told)
+        return _record(_TAKEN.pack(TAKEN, t.number, len(text)) + text + t.body)
+
+    def _number(self, rules):
+        """The number of these rules, which stand in the file before it is used."""
+        self.latest = rules
+        if rules not in self.rules:
+            number = max(self.rules.values(), default=0) + 1
+            self._append(_rules(number, rules))
+            self.rules[rules] = number
+        return self.rules[rules]
+
     # --- the file ---------------------------------------------------------------------------------
 
     def _hold(self, transaction, need):
@@ -142,9 +168,13 @@
 
     def _rewrite(self):
         parts = [_past(id_) for id_ in self.past] + [_named(BAN, id_) for id_ in self.bans]
-        for transaction in self.live.values():
-            parts.append(_taken(transaction))
-            t = transaction
+        # Danger: settings change all day; rules that nothing goes by any more would fill the file.
+        # The latest stay, for the record that is about to name them may be what made the file too long.
+        used = {t.rules for t in self.live.values()} | {self.latest}
+        self.rules = {rules: n for rules, n in self.rules.items() if rules in used}
+        parts += [_rules(n, rules) for rules, n in self.rules.items()]
+        for t in self.live.values():
+            parts.append(self._taken(t))
             if t.branches:
                 parts.append(_record(_SUMMARY.pack(SUMMARY, t.number, t.branches, t.may_run_us, t.live_us)))
             if t.final:
@@ -172,6 +202,7 @@
             _, number, size = _TAKEN.unpack_from(payload)
             at = _TAKEN.size
             told = orjson.loads(payload[at : at + size])
+            told["rules"] = self.numbered.get(told.get("rules", 0))
             body = bytes(payload[at + size :])
             self._hold(Transaction(number, body=body, **told), _HEAD.size + len(payload) + SMALL)
             return
@@ -179,6 +210,10 @@
         if kind == PAST:
             self._past_id(str(payload[_NUMBER.size :], "utf-8"))
             return
+        if kind == RULES:
+            self.numbered[number] = rules = _read_rules(bytes(payload[_NUMBER.size :]))
+            self.rules[rules] = number
+            return
         if kind in (BAN, UNBAN):
             self._ban(str(payload[_NUMBER.size :], "utf-8"), kind == BAN)
             return
@@ -219,13 +254,15 @@
     return _HEAD.pack(len(payload), zlib.crc32(payload)) + payload
 
 
-def _taken(t):
-    told = {
-        name: getattr(t, name)
-        for name in ("id", "cls", "tenant", "dest", "key", "idempotency", "until_unix_us", "front", "reply")
-    }
-    text = orjson.dumps(told)
-    return _record(_TAKEN.pack(TAKEN, t.number, len(text)) + text + t.body)
+def _rules(number, rules):
+    return _record(_NUMBER.pack(RULES, number) + orjson.dumps(rules))
+
+
+def _read_rules(payload):
+    told = orjson.loads(payload)
+    cls = told["cls"]
+    cls |= {"effect": Effect(cls["effect"]), "group": Group(cls["group"])}
+    return Rules(TrafficClass(**cls), told["max_attempts"])
 
 
 def _past(id_):
--- a/pinspread/core/ports.py
+++ b/pinspread/core/ports.py
@@ -30,6 +30,9 @@
     def ask(self) -> None:
         """The module wants the list's changes; one `learn` answers."""
 
+    def settle(self, told) -> None:
+        """Other settings count from now on."""
+
     def move(self, where) -> None:
         """Discovery is elsewhere from now on."""
 
--- a/pinspread/core/transactions.py
+++ b/pinspread/core/transactions.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from pinspread.interface import ListState, Verdict
+from pinspread.interface import ListState, TrafficClass, Verdict
 
 
 class State(IntEnum):
@@ -22,6 +22,14 @@
     after_ms: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class Rules:
+    """What a transaction was taken on under: its class as the settings had it then, and its attempts."""
+
+    cls: TrafficClass
+    max_attempts: int
+
+
 @dataclass(slots=True)
 class Transaction:
     """One message that was taken on, until its final answer has been heard."""
@@ -41,6 +49,7 @@
     may_run_us: int = 0  # Unix time of the first branch that may have run; 0: none
     live_us: int = 0  # Unix time at which the branch that is out was written; 0: none is
     final: Final | None = None
+    rules: Rules | None = None  # None: the journal of an older version does not say
 
 
 @dataclass(slots=True)
--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -81,8 +81,7 @@
     """One sender: `handle` takes what happened and gives what to do. No I/O, no clock, no shared state."""
 
     def __init__(self, settings, seed):
-        self.settings = settings
-        self.few = min(1.0, FEW / settings.senders)  # 1: few senders; the less of it, the more
+        self.use(settings)
         self.random = random.Random(seed)
         self.destinations = {}
         self.endpoints = {}
@@ -108,6 +107,11 @@
         self.tells_opened = False  # whether the caller knows which connections were opened for a call
         self.unused = {}  # endpoints whose last call out ended in this turn
 
+    def use(self, settings):
+        """Decide by these settings from now on; messages keep the rules that they came under."""
+        self.settings = settings
+        self.few = min(1.0, FEW / settings.senders)  # 1: few senders; the less of it, the more
+
     def handle(self, now_ns, events):
         """Take the events of one turn and give the actions, in order."""
         self.now = now_ns
@@ -128,6 +132,8 @@
                 self.on_probe(event)
             elif kind is api.ClientGone:
                 self.end(self.messages.get(event.request))
+            elif kind is api.SettingsChanged:
+                self.use(event.settings)
             else:
                 raise TypeError(f"unknown event {event!r}")
         if self.ask_ns <= now_ns:
@@ -233,7 +239,8 @@
     def on_message(self, event):
         """Take a message: hold it for its destination, behind its key's earlier ones."""
         destination = self.destination(event.destination)
-        message = Message(event, self.settings.classes[event.cls], destination, self.now)
+        message = Message(event, event.rule or self.settings.classes[event.cls], destination, self.now)
+        message.most = event.max_attempts or self.settings.max_attempts
         self.messages[message.request] = message
         heappush(self.expiry, (message.deadline_ns, message.request))
         self.enqueue(message)
@@ -244,8 +251,7 @@
         message.may_run_ns = event.may_run_ns
         if message.may_run_ns and message.rule.effect is api.Effect.BY_KEY:
             heappush(self.expiry, (message.may_run_ns + message.rule.window_ns, message.request))
-        spent = message.attempts >= self.settings.max_attempts
-        if event.attempts and (spent or not self.may_repeat(message, self.now)):
+        if event.attempts and not self.may_repeat(message, self.now):
             self.give_up(message)
 
     def on_outcome(self, event):
@@ -297,8 +303,7 @@
         at = max(message.ready_ns, line.told_ns, line.wait_ns, line.next_ns)
         # Danger: messages that are worth little any more crowd fresh ones out at a limit that is passed.
         stale = verdict is api.Verdict.FULL and self.worth(message, at) < LEAST_WORTH * message.rule.worth
-        spent = message.attempts >= self.settings.max_attempts
-        if stale or spent or not self.may_repeat(message, at):
+        if stale or not self.may_repeat(message, at):
             self.give_up(message)
 
     def heed(self, endpoint, wait_ns):
@@ -323,8 +328,8 @@
         return int(BACKOFF_BASE_NS * BACKOFF_FACTOR ** min(n, 20) * self.random.uniform(*JITTER))
 
     def may_repeat(self, message, at):
-        """Whether another attempt at that time is in time and allowed by what may have run (rule 2)."""
-        if at >= message.deadline_ns:
+        """Whether another attempt at that time is in time, not one too many and harmless (rule 2)."""
+        if at >= message.deadline_ns or message.attempts >= message.most:
             return False
         if not message.may_run_ns or message.rule.effect is api.Effect.REPEATABLE:
             return True
--- a/pinspread/interface.py
+++ b/pinspread/interface.py
@@ -60,7 +60,7 @@
 # --- settings -------------------------------------------------------------------------------------
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, frozen=True)
 class TrafficClass:
     """A class of message."""
 
@@ -199,6 +199,8 @@
     tenant: int = 0
     attempts: int = 0  # made before the sender was restarted
     may_run_ns: int = 0  # when the first of them was sent that may have run; 0: none
+    rule: TrafficClass | None = None  # what it was taken on under, where that is not `cls` of the settings
+    max_attempts: int = 0  # the same for its attempts; 0: as the settings say
 
 
 @dataclass(slots=True)
@@ -241,7 +243,14 @@
     tag: int
 
 
-Event = ListChanged | MessageTaken | AttemptEnded | ProbeEnded | ClientGone | TimerDue
+@dataclass(slots=True)
+class SettingsChanged:
+    """Other settings count from now on; what is held keeps the rules that it came under."""
+
+    settings: Settings
+
+
+Event = ListChanged | MessageTaken | AttemptEnded | ProbeEnded | ClientGone | TimerDue | SettingsChanged
 
 # --- actions --------------------------------------------------------------------------------------
 
--- a/pinspread/net/discovery.py
+++ b/pinspread/net/discovery.py
@@ -51,6 +51,14 @@
         """The module asks for the list's changes: the watch brings them anyhow."""
         self.courier.learn(ListScope.DELTA, [])
 
+    def settle(self, told):
+        """Other settings count from now on; where kinds or zones are others, the whole list is read anew."""
+        old, self.told = self.told, told
+        if (old.kinds, old.zones) != (told.kinds, told.zones):
+            self.seq = 0
+            if self.tasks:
+                self.tasks.start_soon(self._follow, self.address)
+
     def move(self, address):
         """Discovery is at another address from now on; the old watch goes on until the new one is up."""
         if address != self.address:
--- a/pinspread/net/front.py
+++ b/pinspread/net/front.py
@@ -123,7 +123,6 @@
 
     def _enqueue(self, connection, key, id_, options, body):
         courier = self.courier
-        told = courier.settings
         cls, tenant = options["c"], options.get("t", "")
         unknown = courier.unknown(cls, tenant, options["dest"])
         if unknown:
@@ -138,7 +137,7 @@
                 cls=cls,
                 tenant=tenant,
                 dest=options["dest"],
-                key=key if cls in told.keyed else 0,
+                key=key,
                 idempotency=options.get("k", ""),
                 until_unix_us=courier.clock.unix(courier.clock.now()) + options["d"] * 1000,
                 body=bytes(body),
--- a/pinspread/net/http.py
+++ b/pinspread/net/http.py
@@ -142,9 +142,13 @@
 
     def __init__(self, clock, keepalive_us):
         self.clock = clock
-        self.most_idle_us = int(keepalive_us * IDLE_SHARE)
+        self.keep_for(keepalive_us)
         self.idle = {}  # next hop id -> [(address, connection)]
 
+    def keep_for(self, keepalive_us):
+        """After how long next hops close idle connections."""
+        self.most_idle_us = int(keepalive_us * IDLE_SHARE)
+
     def take(self, hop: NextHop) -> Connection | None:
         """An idle connection that is still good."""
         kept = self.idle.get(hop.id, [])
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -1,6 +1,7 @@
 """Assembles a courier: the core with its fronts, transports, discovery and notices."""
 
 import signal
+from functools import partial
 
 import anyio
 
@@ -19,7 +20,7 @@
 
 
 async def serve(told: settings.Told, amqp: settings.AmqpFile, reread, discover=None, login=GUEST):
-    """Serve until SIGTERM or SIGINT; on SIGHUP, `reread()` tells where discovery and notices are from now on.
+    """Serve until SIGTERM or SIGINT; on SIGHUP, `reread(told)` tells what counts from now on.
 
     `discover(courier)` makes another discovery than the platform's.
     """
@@ -30,7 +31,7 @@
     pool = Pool(clock, told.keepalive_us)
     notices = front.Notices(told.discovery)
     courier.transports["http"] = HttpTransport(clock, pool, told.dial_us)
-    room = sockets.Room(clock, told.sockets * 5 // 8, told.memory_bytes // 8)
+    room = sockets.Room(clock, *_legs(told))
     courier.fronts[front.NAME] = first = front.RespFront(courier, notices, room)
     courier.fronts[AMQP] = second = AmqpFront(courier, amqp.heartbeat_s, room)
     discovery = discover(courier) if discover else Discovery(told.discovery, courier, told)
@@ -45,6 +46,8 @@
         for one, address in ((first, told.listen), (second, amqp.listen))
         if address
     ]
+    settings.keep_good(told)
+    changed = partial(change, courier, reread, pool, room, discovery, notices)
     # Danger: a signal without a receiver ends the process and all that it serves.
     wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with anyio.open_signal_receiver(*wanted) as signals:
@@ -61,9 +64,9 @@
             async for signum in signals:
                 if signum != signal.SIGHUP:
                     break
-                _move(reread, discovery, notices)
+                changed()
             # A new configuration counts to the end: the notices of a courier that stops are still owed.
-            tasks.start_soon(_follow_moves, signals, reread, discovery, notices)
+            tasks.start_soon(_follow_changes, signals, changed)
             await courier.stop()
             await second.close()
             tasks.cancel_scope.cancel()
@@ -77,19 +80,34 @@
     return Door(courier, most)
 
 
-async def _follow_moves(signals, reread, discovery, notices):
+async def _follow_changes(signals, changed):
     async for signum in signals:
         if signum == signal.SIGHUP:
-            _move(reread, discovery, notices)
+            changed()
 
 
-def _move(reread, discovery, notices):
-    """The configuration was replaced: discovery and notices go where it says now."""
+def change(courier, reread, pool, room, discovery, notices):
+    """The configuration was replaced: it counts from now on, whole, or not at all."""
+    old = courier.settings
     try:
-        where, told = reread()
+        told, where, heard = reread(old)
     except settings.SettingsError as error:
-        log("configuration_unusable", error=str(error))  # all stays as it was
+        log("configuration_unusable", error=str(error), instead="what was in force")
         return
+    fixed = [n for n in ("name", "listen", "state", "admin") if getattr(told, n) != getattr(old, n)]
+    courier.settle(told)
+    courier.transports["http"].dial_us = told.dial_us
+    pool.keep_for(told.keepalive_us)
+    room.resize(*_legs(told))
+    courier.journal.resize(told.disk_bytes)
+    discovery.settle(told)
     discovery.move(where)
-    notices.move(told)
-    log("configuration", notices=told)
+    notices.move(heard)
+    settings.keep_good(told)
+    classes = {name: rules.cls.effect.value for name, rules in told.rules.items()}
+    log("configuration", notices=heard, classes=classes, attempts=told.module.max_attempts, at_restart=fixed)
+
+
+def _legs(told):
+    """How many caller legs there may be, and how many bytes for them."""
+    return told.sockets * 5 // 8, told.memory_bytes // 8
--- a/pinspread/net/sockets.py
+++ b/pinspread/net/sockets.py
@@ -69,11 +69,15 @@
 
     def __init__(self, clock, most=512, most_bytes=8 << 20):
         self.clock = clock
+        self.resize(most, most_bytes)
+        self.bytes = 0
+        self.legs = {}  # connection -> Leg, in the order in which they came
+
+    def resize(self, most, most_bytes):
+        """Other limits count from now on; legs that are over them give way as usual."""
         self.most = most
         self.most_asked = most * 2 // 5  # legs that hand messages in: a quarter of the descriptors
         self.most_bytes = most_bytes
-        self.bytes = 0
-        self.legs = {}  # connection -> Leg, in the order in which they came
 
     def enter(self, connection):
         """Another caller leg."""
--- a/pinspread/state.py
+++ b/pinspread/state.py
@@ -15,6 +15,7 @@
         "key",
         "may_run_ns",
         "may_run_zone",
+        "most",
         "out",
         "ready_ns",
         "request",
@@ -33,6 +34,7 @@
         self.deadline_ns = event.deadline_ns
         self.taken_ns = now
         self.ready_ns = now  # its backoff runs until then
+        self.most = 0  # attempts that it may have
         self.attempts = 0
         self.failures = 0
         self.out = False
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -159,7 +159,7 @@
 def test_an_applications_file_becomes_settings_for_the_module(tmp_path):
     told = application.told(application.File.model_validate(__import__("tomllib").loads(GOOD)), seed=1)
     assert told.listen == "127.0.0.1:6379" and told.module.classes[0].in_order
-    assert told.keyed == {"booking-change"} and told.knows("payment", "all")
+    assert told.rules["booking-change"].cls.in_order and not told.rules["payment"].cls.in_order
 
 
 def test_the_amqp_front_is_off_unless_its_file_gives_an_address(tmp_path):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -184,7 +185,7 @@
 
 def test_short_slots_go_to_what_is_worth_most_among_destinations_with_as_few_calls_out():
     classes = settings().classes
-    classes[UNSAFE].worth = 3.0
+    classes[UNSAFE] = replace(classes[UNSAFE], worth=3.0)
     desk = Desk(endpoints=[(f"e{n}", n) for n in range(1, 5)], calls_out=1, classes=classes)
     desk.take()
     assert desk.take(destination=2) == [] and desk.take(cls=UNSAFE, destination=3) == []
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -491,9 +491,16 @@
         self.told = configuration(folder / "state")
         self.told["known"]["hosts"] = [host("s-1", hop)]
         self.configure(listen=self.address, discovery=discovery)
-        env = os.environ | {"RELAY_CONFIG": str(self.file), "RELAY_DISCOVERY": discovery}
+        self.env = os.environ | {
+            "RELAY_CONFIG": str(self.file),
+            "RELAY_DISCOVERY": discovery,
+            "RELAY_STATE": str(folder / "state"),
+        }
+        self.start()
+
+    def start(self):
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "pinspread"], env=env, stdout=subprocess.DEVNULL
+            [sys.executable, "-m", "pinspread"], env=self.env, stdout=subprocess.DEVNULL
         )
         self.client = Client(self.address)
 
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,206 @@
+"""Settings that change under load: what is refused whole, and which rules a message keeps."""
+
+import copy
+import signal
+import tempfile
+
+import anyio
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import settings as runs
+from hypothesis import strategies as st
+from standins import Client, HttpStandIn, configuration, courier, standing, until
+from test_platform import HEARD, Process, platform
+
+from pinspread.config import settings
+from pinspread.core.journal import Journal
+from pinspread.core.transactions import Rules, Transaction
+from pinspread.interface import Effect, TrafficClass
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def lane(name="payment", **more):
+    """A class of the configuration's form."""
+    found = next(n for n in configuration("")["settings"]["lanes"] if n["name"] == "payment")
+    return found | {"name": name} | more
+
+
+def test_a_file_cut_off_at_any_byte_is_refused(tmp_path):
+    file = tmp_path / "c.json"
+    env = {"RELAY_CONFIG": str(file)}
+    whole = orjson.dumps(configuration(tmp_path))
+    file.write_bytes(whole)
+    last = settings.from_environment(env)
+    for size in range(len(whole)):
+        file.write_bytes(whole[:size])
+        with pytest.raises(settings.SettingsError):
+            settings.from_environment(env, last)
+    file.write_bytes(whole)
+    assert settings.from_environment(env, last).rules == last.rules
+
+
+def without(path):
+    def broken(told):
+        *way, name = path.split(".")
+        for step in way:
+            told = told[step]
+        del told[name]
+
+    return broken
+
+
+def having(path, value):
+    def broken(told):
+        *way, name = path.split(".")
+        for step in way:
+            told = told[int(step) if step.isdigit() else step]
+        told[name] = value
+
+    return broken
+
+
+BROKEN = [
+    *(without(name) for name in ("settings", "limits", "seed", "known", "settings.lanes", "settings.rules")),
+    *(without(f"settings.{name}") for name in ("weights", "balancers", "projects", "policyLimits.probes")),
+    *(having(f"settings.lanes.1.{n}", v) for n in ("deadlineNs", "aimNs") for v in (0, -1, None, "x", [])),
+    *(having("settings.policyLimits.sendCap", v) for v in (0, -2, None, "many", {}, float("nan"))),
+    having("settings.lanes.1.name", "payment"),
+    having("settings.lanes.1.effect", "sometimes"),
+    having("settings.lanes", []),
+    having("settings.lanes", 7),
+    having("settings", []),
+    having("limits", 3),
+]
+
+
+@pytest.mark.parametrize("broken", BROKEN)
+def test_a_file_that_is_broken_is_refused_whole(tmp_path, broken):
+    file = tmp_path / "c.json"
+    env = {"RELAY_CONFIG": str(file)}
+    told = configuration(tmp_path)
+    file.write_bytes(orjson.dumps(told))
+    last = settings.from_environment(env)
+    broken(told)
+    file.write_bytes(orjson.dumps(told))
+    with pytest.raises(settings.SettingsError):
+        settings.from_environment(env, last)
+
+
+@pytest.mark.parametrize("raw", [b"", b"\xff\xfe", b"null", b"[]", b"3", b'{"settings":NaN}', None])
+def test_what_is_no_configuration_is_refused(tmp_path, raw):
+    file = tmp_path / "c.json"
+    if raw is None:
+        file.mkdir()
+    else:
+        file.write_bytes(raw)
+    with pytest.raises(settings.SettingsError):
+        settings.from_environment({"RELAY_CONFIG": str(file)})
+
+
+async def test_new_messages_go_by_the_new_settings_and_open_ones_by_theirs(tmp_path):
+    down = HttpStandIn(lambda request: (500, [], b""))
+    told = configuration(tmp_path)
+    async with standing(platform()) as heard, standing(down) as address:
+        async with courier(tmp_path, heard, hops=[(address,), (address, "s-2", 2)]) as rig:
+            client, core = Client(rig.address), rig.courier
+            assert await client.enqueue("status-update", "old", for_ms=3500) == "+OK\r\n"
+            await until(lambda: down.requests)
+            new = copy.deepcopy(told)
+            new["settings"]["lanes"] = [lane("refund", effect="once"), lane("status-update", effect="once")]
+            new["settings"]["policyLimits"]["sendCap"] = 1
+            core.settle(settings.read(new, {}))
+            assert (await client.enqueue("payment")).startswith("-ERR unknown class")
+            assert await client.enqueue("refund", "new", dest=2) == "+OK\r\n"
+            await until(lambda: not core.ids)
+        by_id = [r[3]["request-id"] for r in down.requests if r[1] == "POST"]
+        assert 1 < by_id.count("old") <= 6 and by_id.count("new") == 1
+
+
+async def test_rules_of_a_class_that_was_dropped_last_over_a_restart(tmp_path):
+    answers = []
+    hop = HttpStandIn(lambda request: answers.pop(0) if answers else (500, [], b""))
+    async with standing(platform()) as heard, standing(hop) as address:
+        async with courier(tmp_path, heard) as rig:
+            told = configuration(tmp_path)
+            told["settings"]["lanes"].append(lane("refund", effect="once"))
+            rig.courier.settle(settings.read(told, {}))
+            rig.learn(address, state=0)
+            assert await Client(rig.address).enqueue("refund", "kept") == "+OK\r\n"
+        async with courier(tmp_path, heard, hops=[(address,)]) as rig:  # whose settings know no refund
+            await until(lambda: not rig.courier.ids)
+    assert len(hop.requests) == 1  # an error may have run, and the class must not repeat
+
+
+CLASSES = st.builds(
+    TrafficClass,
+    aim_ns=st.integers(1, 3),
+    deadline_ns=st.just(5),
+    effect=st.sampled_from(Effect),
+    window_ns=st.just(9),
+    in_order=st.booleans(),
+)
+STEPS = st.one_of(
+    st.tuples(st.just("take"), st.builds(Rules, CLASSES, st.integers(1, 4))),
+    st.tuples(st.sampled_from(("end", "rewrite", "restart", "fill")), st.integers(0, 9)),
+)
+
+
+@runs(max_examples=60, deadline=None)
+@given(st.lists(STEPS, max_size=30))
+def test_each_open_message_keeps_its_rules_over_rewrites_and_restarts(steps):
+    with tempfile.TemporaryDirectory() as folder:
+        journal, wanted = Journal(folder, 20_000), {}
+        journal.open()
+        for n, (step, what) in enumerate(steps, 1):
+            if step == "take":
+                t = Transaction(n, f"id{n}", "c", "", 1, 0, "", 10**15, b"x" * 300, rules=what)
+                journal.taken(t)
+                wanted[n] = what
+            elif step == "end" and wanted:
+                number = sorted(wanted)[what % len(wanted)]
+                del wanted[number]
+                journal.ended(journal.live[number])
+            elif step == "rewrite":
+                journal._rewrite()
+            elif step == "fill":  # up to where the next record makes the file too long
+                while journal.size < journal.most - 30 * (what + 1):
+                    journal.banned("e", bool(journal.size % 2))
+            elif step == "restart":
+                journal.close()
+                journal = Journal(folder, 20_000)
+                journal.open()
+            assert {n: t.rules for n, t in journal.live.items()} == wanted
+        journal.close()
+
+
+async def test_a_reload_under_load_and_a_start_with_a_broken_file(tmp_path):
+    hop = HttpStandIn()
+    async with standing(hop) as address, standing(HttpStandIn(lambda r: HEARD)) as heard:
+        process = await Process(tmp_path, address, heard).ready()
+        lanes = [*process.told["settings"]["lanes"], lane("refund")]
+        good = copy.deepcopy(process.told)
+        process.configure(settings=process.told["settings"] | {"lanes": lanes})
+        whole = process.file.read_bytes()
+        for raw in (b"", whole[:-9], whole):  # in quick succession: the last file counts
+            process.file.write_bytes(raw)
+            process.process.send_signal(signal.SIGHUP)
+        with anyio.fail_after(5):
+            while await process.client.enqueue("refund") != "+OK\r\n":
+                await anyio.sleep(0.02)
+        process.file.write_bytes(orjson.dumps(good)[:99])
+        process.process.send_signal(signal.SIGHUP)
+        await anyio.sleep(0.3)
+        assert await process.client.enqueue("refund") == "+OK\r\n"
+        await process.end(signal.SIGKILL)
+        process.file.write_bytes(b"{")
+        process.start()
+        await process.ready()
+        assert await process.client.enqueue("refund") == "+OK\r\n"
+        await process.end(signal.SIGTERM)
