Free slots sooner where lost calls hold much of the slot time

Time-outs held 51 of some 110 slot-seconds; first tries waited 131 ms in the median and 11.9 s at the 99th percentile. Cause: Sender.timeout let LEAST_TIMEOUT_NS go only where over 8% of calls were lost (LOST), and observe counted a time-out as lost only if a later call to the same endpoint had been answered before it ended; with 4 slots for 20 endpoints there is none. Ruled out: shut or full partners (9 refusals), CPU (0.7 of a second at most), the door (28 busy answers). Change: a lone time-out counts as lost when the next call to its endpoint is answered; what counts is the slot time that goes to lost calls against what answers take (LOST 0.15 of it).

--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -47,7 +47,7 @@
 LATENCY_GAIN = 0.125  # weight of the newest latency in the mean, half of it again in the deviation
 TIMEOUT_SPREAD = 4  # time-out: twice (mean + this many deviations)
 LEAST_TIMEOUT_NS = SECOND  # no time-out under this: a jam must not turn into lost calls
-LOST = 0.08  # share of lost calls from which, where slots are short, time-outs are as learned only
+LOST = 0.15  # slot time that goes to lost calls, as a share of answers', from which time-outs are as learned
 LOST_GAIN = 0.05  # weight of the newest call in it
 UNSAFE_STRETCH = 2.5  # longer time-outs of unsafe messages, which a time-out loses
 CROWDED_STRETCH = 1.5  # and where half the slots are taken: what hangs must not take them all
@@ -381,7 +381,9 @@
         if not failed:
             endpoint.answered_ns = max(endpoint.answered_ns, sent_ns)
         if not failed or verdict is api.Verdict.TIMEOUT:
-            self.lost += LOST_GAIN * ((failed and endpoint.answered_ns > sent_ns) - self.lost)
+            # A lone one shows by later calls that were answered before it, or by the next that is.
+            missed = endpoint.answered_ns > sent_ns if failed else endpoint.failed and not endpoint.errors
+            self.lost += LOST_GAIN * (missed - self.lost)
         lone = verdict in (api.Verdict.TIMEOUT, api.Verdict.RESET)  # a call or a connection, at first
         if lone and endpoint.served_ns > sent_ns and not endpoint.down:
             # Danger: single calls get lost while the rest is answered as ever. Such a time-out is no
@@ -420,9 +422,8 @@
             gain = max(PACE_GAIN, aged, room)  # on top of their shares, what many add is a jam
             gain *= self.few if line.rate > self.share(endpoint) else self.few ** (-2 * CUT)
             line.rate = min(line.rate * (1 + min(self.few**-CUT, gain)), self.most(endpoint))
-        # Danger: calls and connections get lost one by one, and two in a row look like an outage with a long
-        # ramp. Where only such, or a lone error or two, lay between two successes close together it was none:
-        # what hangs answers nothing, and what is down refuses all.
+        # Danger: calls get lost one by one, and two in a row look like an outage with a long ramp. Where only
+        # such, or a lone error or two, lay between two successes close together it was none.
         short = self.now - endpoint.served_ns < SHORT_OUTAGE * self.settings.cold_ns
         lossy = endpoint.errors < FEW_ERRORS and short
         endpoint.errors = 0
@@ -684,20 +685,19 @@
                 break
             if not self.serve(destination):
                 ready.remove(destination)
-        wake = self.wake_ns
         for destination in self.waiting.values():
             opens = self.opening(destination)
             if opens > self.now:
-                wake = min(wake, opens)  # a doubtful endpoint opens with its next outcome
+                self.wake_ns = min(self.wake_ns, opens)  # a doubtful endpoint opens with its next outcome
             for message in list(destination.queue.values()):
                 if opens < NEVER and not self.may_repeat(message, opens):
                     self.give_up(message)  # its waits are longer than its time: no use in holding it
                     continue
                 at = self.message_opens(message)
                 if at > self.now:
-                    wake = min(wake, at)
-                wake = min(wake, message.deadline_ns)
-        return wake
+                    self.wake_ns = min(self.wake_ns, at)
+                self.wake_ns = min(self.wake_ns, message.deadline_ns)
+        return self.wake_ns
 
     def give_up_late(self):
         """Answer the held messages whose time is over."""
@@ -823,14 +823,14 @@
     def timeout(self, message, endpoint):
         """How long to wait for an answer: learned from the latencies, longer while calls time out."""
         # Giving an unsafe message up early gains only the slot, and loses the message.
+        crowded = 2 * self.calls_out >= self.settings.calls_out
         stretch = 1.0
         if message.rule.effect is api.Effect.ONCE:
-            roomy = 2 * self.calls_out < self.settings.calls_out
-            stretch = UNSAFE_STRETCH if roomy else CROWDED_STRETCH
+            stretch = CROWDED_STRETCH if crowded else UNSAFE_STRETCH
         learned = 2 * (endpoint.mean_ns + TIMEOUT_SPREAD * endpoint.dev_ns) or message.rule.aim_ns
         # Danger: where calls get lost one by one, those that wait for their time-outs hold all slots. It
         # could hurt where a partner's answers overtake each other by more than its latencies have shown.
-        lossy = self.lost > LOST and 2 * self.calls_out >= self.settings.calls_out
+        lossy = crowded and self.lost * LEAST_TIMEOUT_NS > LOST * endpoint.mean_ns
         least = SILENCE_NS if lossy else LEAST_TIMEOUT_NS
         wait = int(max(least, learned) * stretch * endpoint.stretch)
         # Danger: a jam's latencies and time-outs lengthen each other's waits, until calls that hang for tens
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -530,6 +530,21 @@
     assert waits(OK)[2] >= SECOND  # nothing lost
 
 
+@pytest.mark.parametrize(("verdict", "shorter"), [(TIMEOUT, True), (CONNECT_FAILED, False)])
+def test_a_lone_time_out_shows_as_lost_by_the_next_answer_of_its_endpoint(verdict, shorter):
+    desk = Desk(calls_out=2)
+    for _ in range(3):  # one call at a time: no later one is answered before it
+        desk.take()
+        desk.end(desk.ids, after=20 * MS)
+        desk.take()
+        desk.end(desk.ids, verdict, after=SECOND, done=True)
+        desk.take(after=5 * SECOND)
+        desk.end(desk.ids, after=20 * MS)
+    desk.take(2)
+    waits = desk.sender.timeout(next(iter(desk.sender.messages.values())), desk.sender.endpoints["a"])
+    assert (waits < decide.LEAST_TIMEOUT_NS) is shorter
+
+
 def test_resets_speak_for_connections_and_leave_no_ramp_behind():
     desk = Desk(endpoints=(("a", 1), ("b", 1)))
     for _ in range(2):  # both have answered
