--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -8,7 +8,7 @@
 import anyio
 
 from pinspread.config import settings
-from pinspread.core.journal import JournalFull
+from pinspread.core.journal import JournalFull, JournalUnreadable
 
 VERSION = "0.1.0"
 
@@ -59,7 +59,7 @@
     except settings.SettingsError as error:
         print(error, file=sys.stderr)
         return 2
-    except (JournalFull, OSError) as error:  # no folder to write to, an address in use
+    except (JournalFull, JournalUnreadable, OSError) as error:  # no folder to write to, an address in use
         print(f"pinspread: {error}", file=sys.stderr)
         return 1
     return 0
--- a/pinspread/amqp/front.py
+++ b/pinspread/amqp/front.py
@@ -59,12 +59,9 @@
         self.sessions = set()
 
     async def run(self, sock):
-        """Accept and serve until cancelled."""
-        try:
-            async with anyio.create_task_group() as tasks:
-                await accept_forever(sock, tasks, self.serve, self.room)
-        finally:
-            sock.close()
+        """Accept and serve until cancelled; the socket is the caller's."""
+        async with anyio.create_task_group() as tasks:
+            await accept_forever(sock, tasks, self.serve, self.room)
 
     async def serve(self, connection, leg):
         """One caller leg."""
--- a/pinspread/config/dnssd.py
+++ b/pinspread/config/dnssd.py
@@ -123,6 +123,13 @@
     def start(self):
         """Nothing is known before the first answer."""
 
+    def rest(self) -> dict:
+        """What another process needs beside the list: nothing, it reads the records itself."""
+        return {}
+
+    def resume(self, found: dict):
+        """Another process has handed over its list."""
+
     def ask(self):
         """The module asks for the list's changes: they come with the next refresh."""
         self.courier.learn(ListScope.DELTA, [])
--- a/pinspread/config/settings.py
+++ b/pinspread/config/settings.py
@@ -1,6 +1,7 @@
 """What a courier is told at its start, read from the file that `RELAY_CONFIG` names."""
 
 import os
+import re
 import tomllib
 import zlib
 from dataclasses import dataclass
@@ -43,6 +44,7 @@
     dial_us: int
     keepalive_us: int
     admin: str = ""  # where the operators' door listens; empty: it is off
+    passed: int | None = None  # the descriptor of a listening socket that the platform holds
     parts: frozenset = frozenset()  # paths of the settings' parts that are no lists
     raw: bytes = b""  # the file as it was read
 
@@ -172,6 +174,7 @@
             dial_us=limits["dialTimeoutNs"] // 1000,
             keepalive_us=limits["keepaliveNs"] // 1000,
             admin=env.get("RELAY_ADMIN_ADDR") or told.get("admin_addr") or "",
+            passed=_descriptor(env.get("RELAY_PASSED_SOCKET")),
             parts=frozenset(_parts(settings)),
         )
     except KeyError as error:
@@ -197,5 +200,11 @@
             yield from _parts(inner, f"{path}{name}.")
 
 
+def _descriptor(text):
+    """The number that a descriptor is named by, alone or behind other words; None without one."""
+    found = re.findall(r"\d+", text or "")
+    return int(found[-1]) if found else None
+
+
 def _places(named):
     return {item["name"]: n for n, item in enumerate(named)}
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -48,6 +48,9 @@
         self.bans = Bans()
         self.serving = False  # all that is owed is known, and callers are heard
         self.stopping = False
+        self.heir = None  # the process that owns all from now on: core.ports.Heir
+        self.late = []  # branches that ended here since then, and how
+        self.probes = {}  # id of a next hop -> since when a probe of it is out
         self.numbers = count(1)
         self.inbox = []
         self.timers = []
@@ -59,6 +62,11 @@
     def recover(self):
         """Take up again all that the journal says is owed."""
         held = self.journal.open()
+        self._take_up(held)
+        log("recovered", held=len(self.open), notices=len(held) - len(self.open))
+
+    def _take_up(self, held, out=(), known=()):
+        """Owe what the journal says; `out` have a branch elsewhere, of `known` the module has heard."""
         self.bans = Bans(self.journal.bans)
         for hop in self.next_hops.values():
             if hop.id in self.bans.ids:
@@ -66,7 +74,7 @@
         self.numbers = count(max((t.number for t in held), default=0) + 1)
         for t in held:
             self.ids[t.id] = t
-            if t.live_us:
+            if t.live_us and t.number not in out:
                 # Danger: it was out when the process ended, and may have run or still run.
                 t.may_run_us = t.may_run_us or t.live_us
                 t.live_us = 0
@@ -77,8 +85,8 @@
                 self._owe_notice(t)
             else:
                 self.open[t.number] = t
-                self._hand_to_module(t)
-        log("recovered", held=len(self.open), notices=len(held) - len(self.open))
+                if t.number not in known:
+                    self._hand_to_module(t)
 
     def unknown(self, cls, tenant, dest) -> str:
         """What of a message nothing can be decided for; empty if all is known."""
@@ -166,10 +174,14 @@
 
     def ready(self) -> bool:
         """Whether this process serves."""
-        return self.serving and not self.stopping
+        return self.serving and not self.stopping and not self.heir
 
     async def disable(self, id_: str) -> bool:
         """Take an endpoint out until it is called back, whatever the list says; false if it is unknown."""
+        if self.heir:
+            return await self.heir.ban(id_, True)
+        if not self.serving:
+            raise Busy(BUSY_MS, "not serving yet")
         if id_ not in self.next_hops and id_ not in self.bans.ids:
             return False
         if len(id_) <= MOST_ID and self.bans.out(id_):
@@ -185,6 +197,10 @@
 
     async def enable(self, id_: str) -> bool:
         """Use an endpoint again, as one that comes back cold; false if it is unknown."""
+        if self.heir:
+            return await self.heir.ban(id_, False)
+        if not self.serving:
+            raise Busy(BUSY_MS, "not serving yet")
         if id_ not in self.next_hops and id_ not in self.bans.ids:
             return False
         if id_ in self.bans.ids:
@@ -217,7 +233,7 @@
                 if t.final is not None:
                     self.tasks.start_soon(self._notify, t)
             while True:
-                due_us = self.timers[0][0] if self.timers else None
+                due_us = self.timers[0][0] if self.timers and not self.heir else None
                 with anyio.move_on_after(None if due_us is None else self._seconds_to(due_us)):
                     await self.wake.wait()
                 self.wake = anyio.Event()
@@ -225,6 +241,8 @@
 
     def turn(self):
         """One turn: everything that has happened goes to the module, and its actions are performed."""
+        if self.heir:
+            return
         now_us = self.clock.now()
         events, self.inbox = self.inbox, []
         while self.timers and self.timers[0][0] <= now_us:
@@ -276,7 +294,7 @@
         if transaction.key in self.notified and transaction.key:
             # Danger: an earlier message of the key that ended by a notice is over once that is answered.
             with anyio.move_on_after(self._seconds_to(branch.ends_us())):
-                while transaction.key in self.notified:
+                while transaction.key in self.notified and not self.heir:
                     await anyio.sleep(0.005)
         try:
             outcome = await self.transports[branch.next_hop.scheme].send(branch)
@@ -310,6 +328,8 @@
 
     def _barred(self, hop):
         """Why nothing may go to a next hop at present, whatever it is."""
+        if self.heir:
+            return "handed over"
         if self.stopping:
             return "shutting down"
         if not hop.usable:
@@ -322,6 +342,10 @@
         transaction, now_us = branch.transaction, self.clock.now()
         del self.branches[transaction.number, branch.number]
         branch.clear = branch.heed = None  # they name it: without them it is freed at once
+        if self.heir:
+            self.late.append((branch, outcome))
+            self.heir.ended(transaction.number, branch.number, outcome)
+            return
         self._heed(branch.next_hop, outcome.wait_us, now_us)
         was_open = transaction.number in self.open
         log(
@@ -358,6 +382,8 @@
         )
 
     def _heed(self, hop, wait_us, now_us):
+        if wait_us and self.heir:
+            self.heir.heed(hop.id, wait_us)
         if wait_us:
             line = self._line(hop)
             self.told_us[line] = max(self.told_us.get(line, 0), now_us + wait_us)
@@ -367,12 +393,19 @@
         return hop.id if self.settings.module.kind(hop.kind).routes_apart else hop.dest
 
     async def _probe(self, hop, started_us):
+        self.probes[hop.id] = started_us
         with anyio.move_on_after(PROBE_US / SECOND_US) as limit:
             outcome = await self.transports[hop.scheme].probe(hop, lambda: self._barred(hop))
         if limit.cancelled_caught:
             outcome = Outcome(api.Verdict.TIMEOUT)
+        self._probe_ended(hop, started_us, outcome)
+
+    def _probe_ended(self, hop, started_us, outcome):
+        self.probes.pop(hop.id, None)
         now_us = self.clock.now()
         self._heed(hop, outcome.wait_us, now_us)
+        if self.heir:
+            self.heir.probed(hop.id, outcome)
         log("probe", hop=hop.id, verdict=outcome.verdict.name, note=outcome.note)
         took_ns = (now_us - started_us) * 1000
         self.post(api.ProbeEnded(hop.id, outcome.verdict, took_ns, outcome.wait_us * 1000))
@@ -409,6 +442,8 @@
         del self.ids[transaction.id]
 
     def _record(self, write, *what):
+        if self.heir:
+            return  # Danger: two writers to one file; the heir records what it hears of
         try:
             write(*what)
         except JournalFull as error:
@@ -431,6 +466,82 @@
             )
         )
 
+    # --- from one process to the next -------------------------------------------------------------
+
+    def rest(self, heir) -> dict:
+        """Come to rest for an heir, and give what it needs beside the journal, which rests too."""
+        self.heir = heir
+        self.journal.close()
+        return {
+            "sender": self.sender,
+            "inbox": self.inbox,
+            "timers": self.timers,
+            "told_us": self.told_us,
+            "hops": list(self.next_hops.values()),
+            "dests": self.dests,
+            "next": next(self.numbers),
+            "made": {t.number: t.branches for t in self.open.values()},
+            "out": [(*k, b.next_hop, b.started_us, b.timeout_us) for k, b in self.branches.items()],
+            "probes": self.probes,
+        }
+
+    def resume(self):
+        """Serve on, for the heir did not take over."""
+        self.heir = None
+        self.journal.begin()
+        late, self.late = self.late, []
+        for branch, outcome in late:
+            self.branches[branch.transaction.number, branch.number] = branch
+            self._branch_ended(branch, outcome)
+        self.wake.set()
+
+    def inherit(self, state: dict):
+        """Take over from the process before; the journal has been read."""
+        self.sender = state["sender"]
+        self.inbox, self.timers = state["inbox"], state["timers"]
+        self.told_us, self.dests = state["told_us"], state["dests"]
+        self.numbers = count(state["next"])
+        self.next_hops = {hop.id: hop for hop in state["hops"]}
+        self.journal.begin()
+        held = list(self.journal.live.values())
+        out = {number for number, *_ in state["out"]}
+        coming = {event.request for event in self.inbox if type(event) is api.MessageTaken}
+        self._take_up(held, out, coming | self.sender.messages.keys())
+        for t in self.open.values():
+            t.branches = max(t.branches, state["made"].get(t.number, 0))
+        by_number = {t.number: t for t in held}
+        for number, n, hop, started_us, timeout_us in state["out"]:
+            # One that is over has a branch out all the same: its slot is taken until that ends.
+            transaction = by_number.get(number) or _over(number, hop.dest)
+            known = self.next_hops.get(hop.id, hop)
+            self.branches[number, n] = Branch(transaction, n, known, started_us, timeout_us)
+        self.probes = dict(state["probes"])
+        log("inherited", held=len(self.open), notices=len(held) - len(self.open), out=len(out))
+
+    def reported(self, number: int, n: int, outcome: Outcome):
+        """The process before tells how a branch of its own ended."""
+        branch = self.branches.get((number, n))
+        if branch is not None:
+            self._branch_ended(branch, outcome)
+
+    def reported_wait(self, id_: str, wait_us: int):
+        """The process before was told to wait."""
+        if id_ in self.next_hops:
+            self._heed(self.next_hops[id_], wait_us, self.clock.now())
+
+    def reported_probe(self, id_: str, outcome: Outcome):
+        """The process before tells how a probe of its own ended."""
+        if id_ in self.probes and id_ in self.next_hops:
+            self._probe_ended(self.next_hops[id_], self.probes[id_], outcome)
+
+    def bereft(self, branches, probes):
+        """The process before has ended, and what it had out is not told any more."""
+        for number, n in branches:
+            # Danger: it may have run, or still run.
+            self.reported(number, n, Outcome(api.Verdict.RESET, note="its process ended"))
+        for id_ in probes:
+            self.reported_probe(id_, Outcome(api.Verdict.MOOT, note="its process ended"))
+
     # --- the end of the process -------------------------------------------------------------------
 
     async def stop(self):
@@ -445,5 +556,9 @@
                 await anyio.sleep(0.005)
 
 
+def _over(number, dest):
+    return Transaction(number, "", "", "", dest, 0, "", 0)
+
+
 def _entry(hop, state, cold=False):
     return api.ListEntry(hop.id, hop.dest, hop.zone, hop.kind, state, hop.weight, cold)
--- /dev/null
+++ b/pinspread/core/handover.py
@@ -0,0 +1,105 @@
+"""What a hand-over between two processes decides: who owns the messages at each moment. No I/O, no clock.
+
+`docs/daily.md` has the steps. Each machine takes what happened and says what to do next.
+"""
+
+from enum import Enum
+
+
+class Do(Enum):
+    """What the side is to do now."""
+
+    WAIT = "wait"
+    GIVE = "give"  # come to rest and send all
+    DECLINE = "decline"  # say no, with the reason
+    RESUME = "resume"  # take the lock back and serve on
+    LEAVE = "leave"  # hand nothing over, finish and end
+    FINISH = "finish"  # report what is still out, then end
+    TAKE = "take"  # take the lock, read the journal
+    SERVE = "serve"  # it owns all: say so, then act
+    ASK_LEAVE = "ask leave"  # have the old process end, and recover from the journal
+    GIVE_UP = "give up"  # end; the old process serves on
+
+
+class Giver:
+    """The old process: it owns all until it hears *taken*, and is at rest from `give` until then."""
+
+    def __init__(self, shape: str):
+        self.shape = shape  # of the state that it would send
+        self.state = "serving"
+        self.why = ""
+
+    @property
+    def owns(self) -> bool:
+        """Whether it may act: take on, start calls, record."""
+        return self.state in ("serving", "leaving")
+
+    def hello(self, shape: str) -> Do:
+        """A new process asks for all."""
+        if self.state != "serving":
+            self.why = f"busy: {self.state}"
+            return Do.DECLINE
+        if shape != self.shape:
+            self.why = "its state has another shape"
+            return Do.DECLINE
+        self.state = "at rest"
+        return Do.GIVE
+
+    def asked_to_leave(self) -> Do:
+        """A new process can't take over as things are, and wants the lock."""
+        if self.state != "serving":
+            return Do.WAIT
+        self.state = "leaving"
+        return Do.LEAVE
+
+    def taken(self) -> Do:
+        """The new process owns all."""
+        if self.state != "at rest":
+            return Do.WAIT  # garbled: nothing was given
+        self.state = "given"
+        return Do.FINISH
+
+    def broke(self) -> Do:
+        """The exchange ended, was declined or took too long."""
+        if self.state == "at rest":
+            self.state = "serving"
+            return Do.RESUME
+        return Do.FINISH if self.state == "given" else Do.WAIT
+
+
+class Taker:
+    """The new process: it owns nothing until it has the lock and has said *taken*."""
+
+    def __init__(self):
+        self.state = "asking"
+
+    @property
+    def owns(self) -> bool:
+        """Whether it may act."""
+        return self.state == "owner"
+
+    def declined(self, busy: bool) -> Do:
+        """The old process says no; one that is busy may be asked again."""
+        if busy:
+            return Do.WAIT
+        self.state = "waiting for the lock"
+        return Do.ASK_LEAVE
+
+    def collected(self, whole: bool) -> Do:
+        """All was sent; `whole` says whether it could be read."""
+        if not whole:
+            self.state = "waiting for the lock"
+            return Do.ASK_LEAVE
+        self.state = "taking"
+        return Do.TAKE
+
+    def locked(self, readable: bool) -> Do:
+        """It has the lock; `readable` says whether it can read the journal."""
+        self.state = "owner" if readable else "given up"
+        return Do.SERVE if readable else Do.GIVE_UP
+
+    def broke(self) -> Do:
+        """The exchange ended before all had come: the old process is gone, or serves on."""
+        if self.state in ("asking", "collecting", "taking"):
+            self.state = "asking"
+        return Do.WAIT
--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -32,6 +32,10 @@
     """There is no room for another transaction."""
 
 
+class JournalUnreadable(Exception):
+    """It was written by a version that this one does not understand."""
+
+
 class Journal:
     """One file, rewritten with what is still owed when it has grown; old and new together stay in bounds."""
 
@@ -60,16 +64,26 @@
 
     def open(self) -> list[Transaction]:
         """Recover what is owed, in the order taken, and start a fresh file with it."""
-        self.fresh.unlink(missing_ok=True)  # never renamed: the old file is still whole
+        self.read()
+        self.begin()
+        return list(self.live.values())
+
+    def read(self):
+        """Recover what is owed; nothing is written."""
         data = self.path.read_bytes() if self.path.exists() else b""
         self.numbered = {}
         for payload in records(data):
             self._replay(payload)
+
+    def begin(self):
+        """Start a fresh file with what is owed; from now on this process is the one that writes."""
+        self.fresh.unlink(missing_ok=True)  # never renamed: the old file is still whole
         self._rewrite()
-        return list(self.live.values())
 
     def close(self):
+        """Write nothing any more."""
         os.close(self.fd)
+        self.fd = -1
 
     # --- records ----------------------------------------------------------------------------------
 
@@ -198,6 +212,11 @@
 
     def _replay(self, payload):
         kind = payload[0]
+        if kind > RULES:
+            # Danger: passed over, what a newer version recorded would be done again, or never.
+            raise JournalUnreadable(
+                f"{self.path}: a record of kind {kind}, from a newer version: start that one"
+            )
         if kind == TAKEN:
             _, number, size = _TAKEN.unpack_from(payload)
             at = _TAKEN.size
--- a/pinspread/core/ports.py
+++ b/pinspread/core/ports.py
@@ -27,6 +27,12 @@
     def start(self) -> None:
         """Tell what is known without asking."""
 
+    def rest(self) -> dict:
+        """What the next process needs to follow on from here, beside the list itself."""
+
+    def resume(self, found: dict) -> None:
+        """Follow on from where the process before was, in place of `start`."""
+
     def ask(self) -> None:
         """The module wants the list's changes; one `learn` answers."""
 
@@ -61,3 +67,19 @@
 
     async def enable(self, id_: str) -> bool:
         """Use it again; false if none is known by that id."""
+
+
+class Heir(Protocol):
+    """The process that owns all once this one has handed over, as this one reaches it."""
+
+    def ended(self, number: int, branch: int, outcome: Outcome) -> None:
+        """A branch that was out here has ended."""
+
+    def heed(self, id_: str, wait_us: int) -> None:
+        """A next hop told to wait."""
+
+    def probed(self, id_: str, outcome: Outcome) -> None:
+        """A probe that was out here has ended."""
+
+    async def ban(self, id_: str, out: bool) -> bool:
+        """Pass on what an operator asks here; false if the id is unknown there."""
--- a/pinspread/net/admin.py
+++ b/pinspread/net/admin.py
@@ -5,6 +5,7 @@
 import anyio
 import h11
 
+from pinspread.core.courier import Busy
 from pinspread.core.journal import JournalFull
 from pinspread.core.log import log
 from pinspread.core.ports import Operable
@@ -68,11 +69,11 @@
                     return
                 status, text = await self._answer(request)
             except TimeoutError:
-                status, text = 408, "the call did not come whole in time: say it again at once"
+                status, text = 408, "the call did not come whole, or was not done, in time: say it again"
             except (h11.RemoteProtocolError, UnicodeDecodeError) as error:
                 status, text = 400, f"the call cannot be read: {error}"
-            except JournalFull as error:
-                status, text = 503, f"not done, for the journal has no room: {error}; try again in a second"
+            except (Busy, JournalFull) as error:
+                status, text = 503, f"not done: {error}; try again in a second"
             if status >= 400:
                 log("admin_refused", status=status, why=text)
             await connection.write(_response(status, text))
--- a/pinspread/net/discovery.py
+++ b/pinspread/net/discovery.py
@@ -47,6 +47,15 @@
         """The list as the courier had it last, from its configuration."""
         self._learn(self.told.known, ListScope.CACHED)
 
+    def rest(self) -> dict:
+        """What another process needs to follow on from here."""
+        return {"address": self.address, "seq": self.seq}
+
+    def resume(self, found: dict):
+        """Follow on from where another process was; its core has handed over the list itself."""
+        if found.get("address") == self.address:
+            self.seq = found["seq"]
+
     def ask(self):
         """The module asks for the list's changes: the watch brings them anyhow."""
         self.courier.learn(ListScope.DELTA, [])
--- a/pinspread/net/front.py
+++ b/pinspread/net/front.py
@@ -9,7 +9,7 @@
 from pinspread.core.transactions import State, Transaction
 from pinspread.net import resp
 from pinspread.net.http import Exchange
-from pinspread.net.sockets import ReadBuffer, Room, accept_forever, dial
+from pinspread.net.sockets import Kept, ReadBuffer, Room, accept_forever, dial, in_room
 
 NAME = "resp"
 NOTICE_S = 1.0  # how long one POST of notices may take; answered at once as a rule
@@ -31,22 +31,42 @@
         self.courier = courier
         self.notices = notices
         self.room = room or Room(courier.clock)
+        self.scope = None  # of what `run` has started
+        self.over = anyio.Event()
+        self.kept = None  # legs that are to go to another process, while they are collected
 
-    async def run(self, sock):
-        """Accept and serve until cancelled."""
+    async def run(self, sock, legs=()):
+        """Accept and serve until cancelled, or parted; `legs` are Kept, from another process or time."""
+        self.over = anyio.Event()
         async with anyio.create_task_group() as tasks:
+            self.scope = tasks.cancel_scope
+            for kept in legs:
+                tasks.start_soon(in_room, self.room, self.serve, kept.connection, kept)
             await accept_forever(sock, tasks, self.serve, self.room)
+        self.over.set()
 
-    async def serve(self, connection, leg):
+    async def part(self) -> list:
+        """Stop accepting and reading, and give all legs that can go on elsewhere, as Kept."""
+        self.kept = []
+        self.scope.cancel()
+        await self.over.wait()
+        kept, self.kept = self.kept, None
+        return kept
+
+    async def serve(self, connection, leg, kept=None):
         """One caller leg."""
         buffer = ReadBuffer(lambda size: self.room.hold(leg, size))
         leg.word = b"-ERR no whole command in time\r\n"
-        errors = 0
+        errors, answers, follow = 0, b"", True
         need = 1
         try:
-            while await buffer.fill(connection):
+            if kept:
+                leg.spoke, leg.asked, errors, answers = kept.spoke, kept.asked, kept.errors, kept.unsent
+                buffer.put(kept.unread)
+                await connection.write(answers)
+            while buffer.end > buffer.start and kept or await buffer.fill(connection):
+                kept = None
                 # Danger: parsed from its first byte at each read, a command that trickles in costs a lot.
-                follow = True
                 while follow and buffer.end - buffer.start >= need:
                     answers = bytearray()
                     follow, need, wrong = self._commands(connection, leg, buffer, answers)
@@ -68,11 +88,19 @@
             await connection.part()
         except OSError:
             pass  # the client is gone
+        except anyio.get_cancelled_exc_class():
+            if follow and self.kept is not None:
+                unsent = bytes(answers[len(answers) - connection.left :])
+                unread = bytes(buffer.view())
+                self.kept.append(Kept(connection, leg.spoke, leg.asked, errors, unread, unsent))
+                connection = None
+            raise
         except Exception as error:
             # Danger: one caller leg's trouble would end the process and all that it serves.
             log("fault", where="caller leg", error=repr(error))
         finally:
-            connection.close()
+            if connection is not None:
+                connection.close()
 
     def _commands(self, connection, leg, buffer, answers):
         """Answer whole commands, a few at a time.
--- a/pinspread/net/http.py
+++ b/pinspread/net/http.py
@@ -174,6 +174,17 @@
         for _, connection in self.idle.pop(hop.id, []):
             connection.close()
 
+    def part(self):
+        """Give up all that is idle: (next hop's id, address, since when, connection) each."""
+        given, self.idle = self.idle, {}
+        return [(id_, a, c.idle_us, c) for id_, kept in given.items() for a, c in kept]
+
+    def adopt(self, given):
+        """Take over what another process has kept idle."""
+        for id_, address, idle_us, connection in given:
+            connection.idle_us = idle_us
+            self.idle.setdefault(id_, []).append((address, connection))
+
     def sweep(self):
         """Close what has been idle for long, or was closed by the other side."""
         now_us = self.clock.now()
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -1,6 +1,8 @@
 """Assembles a courier: the core with its fronts, transports, discovery and notices."""
 
+import os
 import signal
+import socket
 from functools import partial
 
 import anyio
@@ -11,66 +13,229 @@
 from pinspread.config import settings
 from pinspread.core.clock import Clock
 from pinspread.core.courier import Courier
-from pinspread.core.journal import Journal
+from pinspread.core.journal import Journal, JournalFull, JournalUnreadable
 from pinspread.core.log import log, use
+from pinspread.core.owner import Owner
 from pinspread.decide import Sender
 from pinspread.net import front, sockets
 from pinspread.net.discovery import Discovery
 from pinspread.net.http import HttpTransport, Pool
 
+OWNER_S = 5.0  # how long a start waits for a process that still owns the folder
+HANDED_S = 10.0  # how long a process that has handed over waits for its SIGTERM
+FINISH_S = 3.2  # and after that, for what it has out
+
 
 async def serve(told: settings.Told, amqp: settings.AmqpFile, reread, discover=None, login=GUEST):
     """Serve until SIGTERM or SIGINT; on SIGHUP, `reread(told)` tells what counts from now on.
 
     `discover(courier)` makes another discovery than the platform's.
     """
-    clock = Clock()
-    use(clock)
-    journal = Journal(told.state, told.disk_bytes)
-    courier = Courier(Sender(told.module, told.seed), told, clock, journal)
-    pool = Pool(clock, told.keepalive_us)
-    notices = front.Notices(told.discovery)
-    courier.transports["http"] = HttpTransport(clock, pool, told.dial_us)
-    room = sockets.Room(clock, *_legs(told))
-    courier.fronts[front.NAME] = first = front.RespFront(courier, notices, room)
-    courier.fronts[AMQP] = second = AmqpFront(courier, amqp.heartbeat_s, room)
-    discovery = discover(courier) if discover else Discovery(told.discovery, courier, told)
-    courier.subscribe = discovery.ask
-    # The operators' door is there before all else: it says no until callers are heard.
-    doors = [sockets.listen(told.admin)] if told.admin else []
-    discovery.start()
-    courier.recover()
-    # From here on PING is answered: all that is owed is known again.
-    listeners = [
-        (one, sockets.listen(address))
-        for one, address in ((first, told.listen), (second, amqp.listen))
-        if address
-    ]
-    settings.keep_good(told)
-    changed = partial(change, courier, reread, pool, room, discovery, notices)
-    # Danger: a signal without a receiver ends the process and all that it serves.
-    wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with anyio.open_signal_receiver(*wanted) as signals:
-        async with anyio.create_task_group() as tasks:
-            courier.transports["amqp"] = BrokerTransport(clock, tasks, told.dial_us, login)
-            for run in (courier.run, notices.run, discovery.run, pool.run, room.run):
-                tasks.start_soon(run)
-            for one, sock in listeners:
-                tasks.start_soon(one.run, sock)
-            for sock in doors:
-                tasks.start_soon(door(courier, told.sockets).run, sock)
-            courier.serving = True
-            log("serving", name=told.name, listen=told.listen, amqp=amqp.listen, admin=told.admin)
-            async for signum in signals:
-                if signum != signal.SIGHUP:
-                    break
-                changed()
-            # A new configuration counts to the end: the notices of a courier that stops are still owed.
-            tasks.start_soon(_follow_changes, signals, changed)
-            await courier.stop()
-            await second.close()
-            tasks.cancel_scope.cancel()
-    log("stopped")
+    await Service(told, amqp, reread, discover, login).run()
+
+
+class Service:
+    """One process: its parts, and how they begin, rest and end."""
+
+    def __init__(self, told, amqp, reread, discover, login):
+        self.told, self.amqp, self.login = told, amqp, login
+        self.clock = clock = Clock()
+        use(clock)
+        self.owner = Owner(told.state)
+        journal = Journal(told.state, told.disk_bytes)
+        self.courier = courier = Courier(Sender(told.module, told.seed), told, clock, journal)
+        self.pool = Pool(clock, told.keepalive_us)
+        self.notices = front.Notices(told.discovery)
+        courier.transports["http"] = HttpTransport(clock, self.pool, told.dial_us)
+        self.room = sockets.Room(clock, *_legs(told))
+        courier.fronts[front.NAME] = self.first = front.RespFront(courier, self.notices, self.room)
+        courier.fronts[AMQP] = self.second = AmqpFront(courier, amqp.heartbeat_s, self.room)
+        self.discovery = discover(courier) if discover else Discovery(told.discovery, courier, told)
+        courier.subscribe = self.discovery.ask
+        self.change = partial(change, courier, reread, self.pool, self.room, self.discovery, self.notices)
+        self.listening = {}  # name of a front -> its socket
+        self.tasks = None
+        self.scopes = []  # of what rests while another process takes over
+        self.leaving = anyio.Event()
+        self.at_rest = False
+
+    async def run(self):
+        """Serve to the end."""
+        failed = None
+        # The operators' door is there before all else: it says no until callers are heard.
+        doors = [sockets.listen(self.told.admin)] if self.told.admin else []
+        # Danger: a signal without a receiver ends the process and all that it serves.
+        wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*wanted) as signals:
+            async with anyio.create_task_group() as self.tasks:
+                for sock in doors:
+                    self.tasks.start_soon(door(self.courier, self.told.sockets).run, sock)
+                try:
+                    await self._begin()
+                except (JournalFull, JournalUnreadable, OSError) as error:
+                    failed = error
+                else:
+                    self.tasks.start_soon(self._follow_signals, signals)
+                    await self.leaving.wait()
+                    await self._end()
+                self.tasks.cancel_scope.cancel()
+        if failed:
+            raise failed
+        log("stopped")
+
+    async def _begin(self):
+        told, courier, tasks = self.told, self.courier, self.tasks
+        courier.transports["amqp"] = BrokerTransport(self.clock, tasks, told.dial_us, self.login)
+        before = await self._take_over()
+        legs, sockets_ = (before.legs, before.sockets) if before else ((), {})
+        # From here on PING is answered: all that is owed is known again.
+        if told.listen:
+            self.listening[front.NAME] = inherited(told.passed) or sockets.listen(told.listen)
+        if self.amqp.listen:
+            self.listening[AMQP] = sockets_.get(AMQP) or sockets.listen(self.amqp.listen)
+        settings.keep_good(told)
+        for run in (courier.run, self.pool.run, self.room.run):
+            tasks.start_soon(run)
+        self._serve(legs)
+        courier.serving = True
+        log("serving", name=told.name, listen=told.listen, amqp=self.amqp.listen, admin=told.admin)
+        if told.passed is not None:
+            from pinspread.net import succession
+
+            if before:
+                tasks.start_soon(succession.follow, before.link, courier, self.clock)
+            tasks.start_soon(succession.Succession(self, told.state).run)
+
+    async def _take_over(self):
+        """Own the folder and all that is owed; gives what a process before has handed over, or None."""
+        told, courier = self.told, self.courier
+        before = None
+        if told.passed is not None:
+            from pinspread.net import succession
+
+            before = await succession.inherit(told.state, self.owner, courier.journal, courier.sender)
+        else:
+            await self._own()
+        if before is None or before.state is None:
+            self.discovery.start()
+            courier.recover()
+            return None
+        courier.inherit(before.state)
+        self.discovery.resume(before.state["discovery"])
+        self.pool.adopt(before.idle)
+        return before
+
+    async def _own(self):
+        # Danger: a process that is ending may still write to the journal; two would tear it.
+        try:
+            with anyio.fail_after(OWNER_S):
+                while not self.owner.take():
+                    await anyio.sleep(0.02)
+        except TimeoutError:
+            raise OSError(f"{self.told.state}: another process owns it; end that one first") from None
+
+    def _serve(self, legs):
+        """Hear callers, follow discovery, post notices."""
+        for run in (self.notices.run, self.discovery.run):
+            scope = anyio.CancelScope()
+            self.scopes.append(scope)
+            self.tasks.start_soon(_within, scope, run)
+        if front.NAME in self.listening:
+            self.tasks.start_soon(self.first.run, self.listening[front.NAME], legs)
+        if AMQP in self.listening:
+            scope = anyio.CancelScope()
+            self.scopes.append(scope)
+            self.tasks.start_soon(_within, scope, self.second.run, self.listening[AMQP])
+
+    async def _follow_signals(self, signals):
+        async for signum in signals:
+            if signum != signal.SIGHUP:
+                self.leaving.set()
+            elif not self.courier.heir:
+                # A new configuration counts to the end: the notices of a courier that stops are still owed.
+                self.change()
+
+    def leave(self):
+        """Another process waits for the folder."""
+        if self.first.scope:
+            self.first.scope.cancel()  # it also hears the callers that come from now on
+        self.leaving.set()
+
+    async def _end(self):
+        if not self.courier.heir:
+            await self.courier.stop()
+            await self.second.close()
+            return
+        with anyio.move_on_after(FINISH_S):
+            while self.courier.branches or self.courier.probes or self.courier.heir.queue:
+                await anyio.sleep(0.01)
+
+    # --- what an upgrade asks of the old process ------------------------------------------------------
+
+    async def rest(self, heir) -> dict:
+        """Come to rest, and give all that goes over."""
+        from pinspread.net import succession
+
+        await self.second.close()
+        scopes, self.scopes = self.scopes, []
+        for scope in scopes:
+            scope.cancel()
+        legs = await self.first.part()
+        state = self.courier.rest(heir) | {"discovery": self.discovery.rest()}
+        return {
+            "blob": succession.packed(state),
+            "state": state,
+            "legs": _chosen(legs, self.told.sockets // 4),
+            "idle": self.pool.part(),
+            "sockets": {name: sock for name, sock in self.listening.items() if name != front.NAME},
+            "lock": self.owner.fd,
+        }
+
+    def resume(self, given):
+        """The other process did not take over: serve on."""
+        self.pool.adopt(given["idle"])
+        self.courier.resume()
+        self._serve(given["legs"])
+        log("resumed", legs=len(given["legs"]))
+
+    def given(self, given):
+        """The other process owns all."""
+        for connection in [k.connection for k in given["legs"]] + [idle[3] for idle in given["idle"]]:
+            connection.close()
+        self.owner.leave()
+        self.tasks.start_soon(self._leave_in_time)
+
+    async def _leave_in_time(self):
+        await anyio.sleep(HANDED_S)
+        self.leaving.set()
+
+
+def _chosen(legs, most):
+    """As many legs as may be open twice for a moment; others end, first those that wait for nothing."""
+    legs.sort(key=lambda kept: (not (kept.unread or kept.unsent), not kept.asked, not kept.spoke))
+    for kept in legs[most:]:
+        kept.connection.close()
+    return legs[:most]
+
+
+async def _within(scope, run, *arguments):
+    with scope:
+        await run(*arguments)
+
+
+def inherited(number):
+    """The listening socket that the platform holds for all processes of a courier; None if there is none."""
+    if number is None:
+        return None
+    try:
+        sock = socket.socket(fileno=os.dup(number))
+        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError("it does not listen")
+        sock.setblocking(False)
+        return sock
+    except OSError as error:
+        log("no_passed_socket", number=number, error=str(error))
+        return None
 
 
 def door(courier, most):
@@ -80,12 +245,6 @@
     return Door(courier, most)
 
 
-async def _follow_changes(signals, changed):
-    async for signum in signals:
-        if signum == signal.SIGHUP:
-            changed()
-
-
 def change(courier, reread, pool, room, discovery, notices):
     """The configuration was replaced: it counts from now on, whole, or not at all."""
     old = courier.settings
--- a/pinspread/net/sockets.py
+++ b/pinspread/net/sockets.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+from dataclasses import dataclass
 
 import anyio
 import anyio.lowlevel
@@ -147,16 +148,29 @@
             self.sweep()
 
 
-async def accept_forever(sock: socket.socket, tasks, serve, room: Room | None = None):
-    """Start `serve(connection)` for each connection that comes and finds room; with a leg, if it counts."""
+@dataclass(slots=True)
+class Kept:
+    """A caller leg that goes from one process to the next."""
+
+    connection: "Connection"
+    spoke: bool = False
+    asked: bool = False
+    errors: int = 0
+    unread: bytes = b""  # read from it and not answered
+    unsent: bytes = b""  # answered and not written
+
+
+async def in_room(room, serve, connection, *more):
+    """Serve a connection that counts as long as it is served."""
+    leg = room.enter(connection)
+    try:
+        await serve(connection, leg, *more)
+    finally:
+        room.leave(leg)
 
-    async def held(connection):
-        leg = room.enter(connection)
-        try:
-            await serve(connection, leg)
-        finally:
-            room.leave(leg)
 
+async def accept_forever(sock: socket.socket, tasks, serve, room: Room | None = None):
+    """Start `serve(connection)` for each connection that comes and finds room; with a leg, if it counts."""
     while True:
         if room and not room.make():
             # Danger: callers that take all descriptors leave none for branches, notices and the journal.
@@ -178,7 +192,7 @@
         except OSError:
             peer.close()  # gone already
             continue
-        tasks.start_soon(held if room else serve, connection)
+        tasks.start_soon(*((in_room, room, serve) if room else (serve,)), connection)
         await anyio.lowlevel.checkpoint()  # Danger: a flood of newcomers would hold the loop
 
 
@@ -245,8 +259,9 @@
                 waited = True
                 continue
             if not waited:
-                # Danger: who always finds data would hold the loop, and all others wait for its turn.
-                await anyio.lowlevel.checkpoint()
+                # Danger: who always finds data would hold the loop, and all others wait for its turn. What
+                # has been read must not be lost where the task is cancelled, for it may go to a next process.
+                await anyio.lowlevel.cancel_shielded_checkpoint()
             return got
 
     def quiet(self) -> bool:
@@ -314,6 +329,12 @@
         """What is to be parsed."""
         return memoryview(self.data)[self.start : self.end]
 
+    def put(self, data: bytes):
+        """Have bytes in it that were read elsewhere."""
+        self.data = bytearray(max(LEAST_BUFFER, 2 * len(data)))
+        self.data[: len(data)] = data
+        self.start, self.end = 0, len(data)
+
     def consume(self, size: int):
         """Done with that much of the view."""
         self.start += size
--- /dev/null
+++ b/pinspread/net/succession.py
@@ -0,0 +1,510 @@
+"""Upgrades on sockets: one process takes everything over from the one before, by a local socket.
+
+`core/handover.py` decides; this carries it out. A packet is its kind, whether more of it follows, and data;
+descriptors ride with the packet that speaks of them.
+"""
+
+import array
+import io
+import os
+import pickle
+import socket
+import struct
+from collections import deque
+from contextlib import suppress
+from dataclasses import dataclass, field, fields, is_dataclass
+from hashlib import blake2b
+from random import Random
+
+import anyio
+import anyio.lowlevel
+import orjson
+
+from pinspread import decide, interface, state
+from pinspread.core.handover import Do, Giver, Taker
+from pinspread.core.journal import JournalUnreadable
+from pinspread.core.log import log
+from pinspread.core.transactions import NextHop, Outcome
+from pinspread.interface import Verdict
+from pinspread.net.sockets import Connection, Kept
+
+NAME = "handover"  # of the socket, in the folder that lasts
+HELLO, NO, LEAVE, STATE, LEG, IDLE, SOCKET, YOURS, TAKEN, ENDED, HEED, PROBED, BAN, BANNED = range(14)
+PACKET = 32 * 1024
+MOST_PIECES = 2048  # of one message: 64 MB
+STEP_S = 2.0  # how long the other side may take for its next word
+AGAIN_S = 0.03
+BAN_S = 0.8  # an operator's answer is due in a second
+REST_S = 10.0  # how long a process that has handed over waits for its SIGTERM
+GRACE_US = 200_000  # past a branch's time, for the report of its end
+
+
+class Garbled(ValueError):
+    """What came is no packet, or no state that can be read."""
+
+
+class Link:
+    """One local connection between two processes."""
+
+    def __init__(self, sock):
+        self.sock = sock
+        sock.setblocking(False)
+
+    async def send(self, kind: int, data: bytes = b"", fd: int | None = None):
+        """One message; a descriptor goes with its first packet."""
+        view = memoryview(data)
+        at = 0
+        while True:
+            piece = view[at : at + PACKET]
+            at += PACKET
+            head = bytes((kind, at < len(view)))
+            more = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, array.array("i", [fd]))] if fd is not None else []
+            while True:
+                try:
+                    self.sock.sendmsg([head, piece], more)
+                    break
+                except BlockingIOError:
+                    await anyio.wait_writable(self.sock)
+            fd = None
+            if at >= len(view):
+                return
+
+    async def receive(self):
+        """The next message: kind, data and a descriptor or None; ConnectionResetError at the end."""
+        whole, fd, first = bytearray(), None, None
+        try:
+            for _ in range(MOST_PIECES):
+                packet, fds = await self._packet()
+                fd = fds.pop(0) if fds and fd is None else fd
+                for spare in fds:
+                    os.close(spare)
+                if len(packet) < 2 or packet[1] > 1 or first not in (None, packet[0]):
+                    raise Garbled("not a packet of the exchange")
+                first = packet[0]
+                whole += memoryview(packet)[2:]
+                if not packet[1]:
+                    return first, bytes(whole), fd
+            raise Garbled("a message without an end")
+        except BaseException:
+            if fd is not None:
+                os.close(fd)
+            raise
+
+    async def _packet(self):
+        while True:
+            try:
+                packet, more, _, _ = self.sock.recvmsg(PACKET + 2, socket.CMSG_SPACE(4 * 4))
+                break
+            except BlockingIOError:
+                await anyio.wait_readable(self.sock)
+        fds = array.array("i")
+        for level, kind, data in more:
+            if (level, kind) == (socket.SOL_SOCKET, socket.SCM_RIGHTS):
+                fds.frombytes(data[: len(data) - len(data) % fds.itemsize])
+        if not packet:
+            for fd in fds:
+                os.close(fd)
+            raise ConnectionResetError("the other process has ended the exchange")
+        return packet, list(fds)
+
+    def close(self):
+        self.sock.close()
+
+
+# --- the state -----------------------------------------------------------------------------------
+
+
+def _classes(module):
+    return [c for c in vars(module).values() if isinstance(c, type) and c.__module__ == module.__name__]
+
+
+SENT = {c: c for c in [*_classes(state), *_classes(interface), decide.Sender, NextHop, deque, Random]}
+_BY_NAME = {(c.__module__, c.__name__): c for c in SENT}
+_BY_NAME["collections", "deque"] = deque
+
+
+class _Reader(pickle.Unpickler):
+    """Reads nothing but what a courier's state is made of."""
+
+    def find_class(self, module, name):
+        # Danger: whatever else is named would be called, with arguments of the sender's choice.
+        if (module, name) not in _BY_NAME:
+            raise Garbled(f"{module}.{name} is no part of a courier's state")
+        return _BY_NAME[module, name]
+
+
+def shape(sender) -> str:
+    """What a state of this version looks like: the parts of each class that goes over."""
+    parts = [sorted(vars(sender))]
+    for cls in SENT:
+        names = [f.name for f in fields(cls)] if is_dataclass(cls) else list(getattr(cls, "__slots__", ()))
+        parts.append([cls.__name__, *map(str, names)])
+    return blake2b(orjson.dumps(parts), digest_size=16).hexdigest()
+
+
+def read_state(data: bytes) -> dict:
+    """The state that the process before has sent; Garbled if it is none."""
+    try:
+        found = _Reader(io.BytesIO(data)).load()
+        if not isinstance(found, dict) or type(found["sender"]) is not decide.Sender:
+            raise Garbled("no state")
+        return found
+    except Garbled:
+        raise
+    except Exception as error:  # whatever the bytes make of a reader
+        raise Garbled(f"the state cannot be read: {error!r}") from None
+
+
+# --- the new process -----------------------------------------------------------------------------
+
+
+@dataclass
+class Inheritance:
+    """What a new process starts with; without a state it is alone, and recovers from the journal."""
+
+    state: dict | None = None
+    legs: list = field(default_factory=list)  # Kept
+    idle: list = field(default_factory=list)  # (next hop's id, address, since when, Connection)
+    sockets: dict = field(default_factory=dict)  # name -> listening socket
+    link: Link | None = None
+
+    def close(self):
+        """It came to nothing."""
+        for connection in [kept.connection for kept in self.legs] + [idle[3] for idle in self.idle]:
+            connection.close()
+        for sock in self.sockets.values():
+            sock.close()
+
+
+def _path(folder):
+    """The socket's path, however deep the folder lies, and a descriptor to close."""
+    fd = os.open(folder, os.O_PATH | os.O_DIRECTORY)
+    return f"/proc/self/fd/{fd}/{NAME}", fd
+
+
+def _connect(folder):
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    path, fd = _path(folder)
+    try:
+        sock.connect(path)
+        own = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))[1]
+        if own != os.getuid():
+            raise PermissionError("another user's process is there")
+        return Link(sock)
+    except BaseException:
+        sock.close()
+        raise
+    finally:
+        os.close(fd)
+
+
+async def inherit(folder, owner, journal, sender) -> Inheritance:
+    """Take over from the process that owns the folder, or find that nobody does.
+
+    This one owns it on return. Raises JournalUnreadable; the old process serves on then.
+    """
+    taker = Taker()
+    while not owner.take():
+        if taker.state != "waiting for the lock":
+            try:
+                link = _connect(folder)
+            except OSError:
+                await anyio.sleep(AGAIN_S)  # it starts or ends, or its socket was left behind
+                continue
+            found = await _collect(link, taker, owner, journal, shape(sender))
+            if found is not None:
+                return found
+        await anyio.sleep(AGAIN_S)
+    return Inheritance()
+
+
+async def _collect(link, taker, owner, journal, own_shape):
+    """One exchange; None if nothing came of it."""
+    found, lock = Inheritance(link=link), None
+    try:
+        with anyio.fail_after(STEP_S):
+            await link.send(HELLO, own_shape.encode())
+        taker.state = "collecting"
+        while True:
+            with anyio.fail_after(STEP_S):
+                kind, data, fd = await link.receive()
+            if kind == NO:
+                told = orjson.loads(data)
+                log("handover_declined", why=told["why"])
+                taker.declined(told["busy"])
+                break
+            if kind == YOURS:
+                lock = fd
+                break
+            _gather(found, kind, data, fd)
+        if lock is not None and taker.collected(found.state is not None) is Do.TAKE:
+            journal.read()
+            taker.locked(True)
+            owner.adopt(lock)
+            lock = None
+            await link.send(TAKEN)
+            taken, found = found, Inheritance()
+            return taken
+    except JournalUnreadable as error:
+        taker.locked(False)
+        with suppress(OSError):
+            await link.send(NO, orjson.dumps({"why": str(error), "busy": False}))
+        raise
+    except (OSError, ValueError, TimeoutError, KeyError) as error:
+        log("handover_broke", error=str(error) or type(error).__name__, state=taker.state)
+        if isinstance(error, ValueError):
+            taker.collected(False)  # garbled: it would be garbled again
+        taker.broke()
+    finally:
+        if lock is not None:
+            os.close(lock)
+        if found.link is not None:
+            found.close()
+            link.close()
+    if taker.state == "waiting for the lock":
+        await _ask_to_leave(owner.folder)
+    return None
+
+
+async def _ask_to_leave(folder):
+    """Have the process before end; it hears on a connection of its own, once the exchange is over."""
+    try:
+        link = _connect(folder)
+        with anyio.fail_after(STEP_S):
+            await link.send(LEAVE)
+        link.close()
+    except (OSError, TimeoutError) as error:
+        log("handover_broke", error=str(error), state="asking it to leave")
+
+
+def _gather(found, kind, data, fd):
+    """One message of what is handed over."""
+    if kind == STATE:
+        found.state = read_state(data)
+    elif kind == LEG and fd is not None:
+        head, _, rest = data.partition(b"\n")
+        told = orjson.loads(head)
+        size = told.pop("unread")
+        found.legs.append(Kept(_adopted(fd), unread=rest[:size], unsent=rest[size:], **told))
+    elif kind == IDLE and fd is not None:
+        found.idle.append((*orjson.loads(data), _adopted(fd)))
+    elif kind == SOCKET and fd is not None:
+        found.sockets[data.decode()] = socket.socket(fileno=fd)
+    else:
+        if fd is not None:
+            os.close(fd)
+        raise Garbled(f"message {kind} is out of place")
+
+
+def _adopted(fd):
+    sock = socket.socket(fileno=fd)
+    try:
+        return Connection(sock)
+    except OSError:  # its other side has reset it: that shows at the first use
+        connection = Connection.__new__(Connection)
+        connection.sock, connection.left, connection.idle_us = sock, 0, 0
+        return connection
+
+
+async def follow(link, courier, clock):
+    """Hear how what the process before still has out ends, and pass on what its door is asked."""
+    left = list(courier.branches)
+    probes = list(courier.probes)
+
+    async def late(key, branch):
+        # Danger: a process that hangs would tell nothing, and a message would never have its answer.
+        await anyio.sleep(max(0, branch.ends_us() + GRACE_US - clock.now()) / 1e6)
+        courier.reported(*key, Outcome(Verdict.TIMEOUT, note="its process did not tell"))
+
+    async with anyio.create_task_group() as tasks:
+        for key in left:
+            tasks.start_soon(late, key, courier.branches[key])
+        try:
+            while True:
+                kind, data, fd = await link.receive()
+                if fd is not None:
+                    os.close(fd)
+                await _report(link, courier, kind, orjson.loads(data))
+        except (OSError, ValueError, KeyError, TypeError) as error:
+            log("predecessor_gone", why=str(error) or type(error).__name__)
+            courier.bereft(left, probes)
+        tasks.cancel_scope.cancel()
+    link.close()
+
+
+async def _report(link, courier, kind, told):
+    if kind == ENDED:
+        number, n, outcome = told
+        courier.reported(number, n, _outcome(outcome))
+    elif kind == HEED:
+        courier.reported_wait(*told)
+    elif kind == PROBED:
+        id_, outcome = told
+        courier.reported_probe(id_, _outcome(outcome))
+    elif kind == BAN:
+        id_, out, n = told
+        known = await (courier.disable(id_) if out else courier.enable(id_))
+        await link.send(BANNED, orjson.dumps([n, known]))
+    else:
+        raise Garbled(f"message {kind} is out of place")
+
+
+def _outcome(told):
+    return Outcome(**told | {"verdict": Verdict(told["verdict"])})
+
+
+# --- the old process -----------------------------------------------------------------------------
+
+
+class Heir:
+    """The process after this one, for this one's core."""
+
+    def __init__(self, link):
+        self.link = link
+        self.queue = deque()
+        self.wake = anyio.Event()
+        self.asked = {}  # number of a question -> (event, answers)
+        self.gone = False
+
+    def _put(self, kind, *told):
+        self.queue.append((kind, orjson.dumps(told)))
+        self.wake.set()
+
+    def ended(self, number, branch, outcome):
+        """A branch that was out here has ended."""
+        self._put(ENDED, number, branch, outcome)
+
+    def heed(self, id_, wait_us):
+        """A next hop told to wait."""
+        self._put(HEED, id_, wait_us)
+
+    def probed(self, id_, outcome):
+        """A probe that was out here has ended."""
+        self._put(PROBED, id_, outcome)
+
+    async def ban(self, id_, out):
+        """Pass on what an operator asks here; TimeoutError without an answer in time."""
+        n, heard, answers = len(self.asked), anyio.Event(), []
+        self.asked[n] = heard, answers
+        self._put(BAN, id_, out, n)
+        with anyio.fail_after(BAN_S):
+            await heard.wait()
+        return answers[0]
+
+    async def run(self):
+        """Tell it all until the exchange ends."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._hear, tasks.cancel_scope)
+            with suppress(OSError):
+                while True:
+                    await self.wake.wait()
+                    self.wake = anyio.Event()
+                    while self.queue:
+                        await self.link.send(*self.queue[0])
+                        self.queue.popleft()
+            self.gone = True
+            tasks.cancel_scope.cancel()
+
+    async def _hear(self, scope):
+        try:
+            while True:
+                kind, data, _ = await self.link.receive()
+                if kind == BANNED:
+                    n, known = orjson.loads(data)
+                    heard, answers = self.asked[n]
+                    answers.append(known)
+                    heard.set()
+        except (OSError, ValueError, KeyError) as error:
+            log("successor_gone", why=str(error) or type(error).__name__)
+        self.gone = True
+        scope.cancel()
+
+
+class Succession:
+    """The socket on which the next process asks, as long as this one serves."""
+
+    def __init__(self, service, folder):
+        self.service = service
+        self.folder = folder
+        self.giver = Giver("")
+
+    async def run(self):
+        """Answer whoever asks, one after the other, until cancelled."""
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        path, fd = _path(self.folder)
+        try:
+            with suppress(FileNotFoundError):
+                os.unlink(path)  # one that was left behind, or the process before's
+            sock.bind(path)
+            os.chmod(path, 0o600)
+            sock.listen(4)
+            sock.setblocking(False)
+            while True:
+                try:
+                    peer, _ = sock.accept()
+                except BlockingIOError:
+                    await anyio.wait_readable(sock)
+                    continue
+                link = Link(peer)
+                try:
+                    await self._serve(link)
+                finally:
+                    link.close()
+        except OSError as error:
+            log("no_handover", error=str(error))  # it serves all the same; an upgrade ends it first
+        finally:
+            sock.close()
+            os.close(fd)
+
+    async def _serve(self, link):
+        self.giver.shape = shape(self.service.courier.sender)
+        try:
+            with anyio.fail_after(STEP_S):
+                kind, data, _ = await link.receive()
+                do = self.giver.hello(data.decode()) if kind == HELLO else Do.DECLINE
+                if kind == HELLO and do is Do.DECLINE:
+                    busy = self.giver.state != "serving"
+                    await link.send(NO, orjson.dumps({"why": self.giver.why, "busy": busy}))
+            if kind == LEAVE and self.giver.asked_to_leave() is Do.LEAVE:
+                log("asked_to_leave")
+                self.service.leave()
+            if do is not Do.GIVE:
+                return
+        except (OSError, ValueError, TimeoutError) as error:
+            log("handover_broke", error=str(error) or type(error).__name__, state=self.giver.state)
+            return
+        heir = Heir(link)
+        given = await self.service.rest(heir)
+        try:
+            with anyio.fail_after(2 * STEP_S):
+                await self._give(link, given)
+                kind, data, _ = await link.receive()
+            if kind == NO:
+                log("handover_declined", why=orjson.loads(data)["why"])
+            do = self.giver.taken() if kind == TAKEN else self.giver.broke()
+        except (OSError, ValueError, TimeoutError, KeyError) as error:
+            log("handover_broke", error=str(error) or type(error).__name__, state=self.giver.state)
+            do = self.giver.broke()
+        if do is Do.RESUME:
+            self.service.resume(given)
+            return
+        log("handed_over", legs=len(given["legs"]), out=len(given["state"]["out"]))
+        self.service.given(given)
+        await heir.run()
+
+    async def _give(self, link, given):
+        await link.send(STATE, given["blob"])
+        for kept in given["legs"]:
+            told = {n: getattr(kept, n) for n in ("spoke", "asked", "errors")} | {"unread": len(kept.unread)}
+            data = orjson.dumps(told) + b"\n" + kept.unread + kept.unsent
+            await link.send(LEG, data, kept.connection.sock.fileno())
+        for id_, address, idle_us, connection in given["idle"]:
+            await link.send(IDLE, orjson.dumps([id_, address, idle_us]), connection.sock.fileno())
+        for name, sock in given["sockets"].items():
+            await link.send(SOCKET, name.encode(), sock.fileno())
+        await link.send(YOURS, b"", given["lock"])
+
+
+def packed(told: dict) -> bytes:
+    """A state as it goes over."""
+    return pickle.dumps(told, protocol=5)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -79,6 +79,7 @@
         for hop in hops:
             rig.learn(*hop)
         core.recover()
+        core.serving = True
         for run in (core.run, notices.run, pool.run, room.run):
             tasks.start_soon(run)
         tasks.start_soon(resp.run, resp_sock)
@@ -86,6 +87,7 @@
         yield rig
         tasks.cancel_scope.cancel()
     resp_sock.close()
+    amqp_sock.close()
     journal.close()
 
 
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,227 @@
+"""Upgrades: one process takes over from the one before, under load; real processes, stand-in partners."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections import Counter
+from contextlib import asynccontextmanager
+
+import anyio
+import orjson
+import pytest
+from standins import Client, HttpStandIn, configuration, host, listener, own_address, standing, until
+
+from pinspread.net import sockets
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Deployment:
+    """A courier whose clients' socket the platform holds, and its processes one after the other."""
+
+    def __init__(self, folder, partner, platform):
+        self.sock, self.address = listener()
+        self.folder = folder
+        (folder / "state").mkdir(exist_ok=True)
+        self.file = folder / "config.json"
+        told = configuration(folder / "state", callsOut=64)
+        told["known"]["hosts"] = [host("s-1", partner), host("s-2", partner, 2)]
+        told |= {"listen": self.address, "discovery": platform}
+        self.told = told
+        self.processes = []
+
+    def start(self, **more):
+        """Another process, with a door of its own."""
+        self.file.write_bytes(orjson.dumps(self.told))
+        door = own_address()
+        env = os.environ | {
+            "RELAY_CONFIG": str(self.file),
+            "RELAY_STATE": str(self.folder / "state"),
+            "RELAY_PASSED_SOCKET": str(self.sock.fileno()),
+            "RELAY_ADMIN_ADDR": door,
+        }
+        log = open(self.folder / f"log{len(self.processes)}", "wb")
+        process = subprocess.Popen(
+            [sys.executable, "-m", "pinspread"],
+            env=env | more,
+            pass_fds=[self.sock.fileno()],
+            stdout=log,
+            stderr=log,
+        )
+        process.door = door
+        self.processes.append(process)
+        return process
+
+    def end(self):
+        for process in self.processes:
+            process.kill()
+            process.wait()
+        self.sock.close()
+
+    def events(self, n):
+        lines = (self.folder / f"log{n}").read_bytes().splitlines()
+        return [orjson.loads(line) for line in lines if line.startswith(b"{")]
+
+
+async def call(address, said="GET /-/ready"):
+    """The status that a door answers; 0 if nobody does."""
+    try:
+        connection = await sockets.dial(address)
+        await connection.write(f"{said} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        with anyio.fail_after(2):
+            heard = await connection.read()
+        connection.close()
+        return int(heard.split(b" ", 2)[1])
+    except (OSError, IndexError, TimeoutError):
+        return 0
+
+
+async def ready(process, seconds=6.0):
+    """Until its door says yes; how long it took."""
+    began = time.monotonic()
+    while await call(process.door) != 200:
+        assert time.monotonic() - began < seconds and process.poll() is None
+        await anyio.sleep(0.02)
+    return time.monotonic() - began
+
+
+class Ledger:
+    """What was handed in, what partners have had, and what was told of ends."""
+
+    def __init__(self):
+        self.taken = {}  # id -> (class, key)
+        self.order = {}  # key -> ids in the order handed in
+        self.had = []  # ids, in the order in which calls came whole
+        self.done = Counter()  # 200 written
+        self.out = Counter()
+        self.twice_out = 0
+        self.ends = {}
+        self.trouble = []
+        self.stop = False
+
+    async def partner(self, request):
+        id_ = request[3].get("request-id")
+        if id_ is None:
+            return 200, [], b""
+        self.had.append(id_)
+        self.twice_out += self.out[id_] > 0
+        self.out[id_] += 1
+        await anyio.sleep(0.02 if len(self.had) % 10 else 0.3)
+        self.out[id_] -= 1
+        self.done[id_] += 1
+        return 200, [], b""
+
+    def platform(self, request):
+        if request[2] == "/v2/finals":
+            for line in request[4].splitlines():
+                told = orjson.loads(line)
+                self.ends.setdefault(told["id"], set()).add(told["state"])
+            return 204, [], b""
+        return 503, [], b""
+
+    async def client(self, address, name, fresh=False):
+        """Hand messages in, one after the other, until told to stop."""
+        client, n = Client(address, again=True), 0
+        while not self.stop:
+            n += 1
+            id_, cls = f"{name}.{n}", ("payment", "booking-change", "status-update")[n % 3]
+            key = f"{hash(name) % 1000 + 1:x}" if cls == "booking-change" else "0"
+            try:
+                with anyio.fail_after(0.4):
+                    answer = await client.enqueue(cls, id_, key, for_ms=8000, dest=1 + n % 2)
+                if answer == "+OK\r\n":
+                    self.taken[id_] = cls, key
+                    if key != "0":
+                        self.order.setdefault(key, []).append(id_)
+                elif not answer.startswith("-BUSY"):
+                    self.trouble.append((id_, answer))
+            except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError) as error:
+                self.trouble.append((id_, repr(error)))
+                client = Client(address, again=True)
+            if fresh and client.stream is not None:
+                await client.stream.aclose()
+                client = Client(address, again=True)
+            await anyio.sleep(0.005)
+
+    def settled(self):
+        return all(id_ in self.done or id_ in self.ends for id_ in self.taken)
+
+    def check(self, killed=False):
+        """The rules; after a kill, calls that were out may have run, and payments among them fail."""
+        assert self.settled(), [i for i in self.taken if i not in self.done and i not in self.ends]
+        for id_, (cls, _) in self.taken.items():
+            had = self.had.count(id_)
+            assert had <= 1 or cls != "payment", f"{id_} went {had} times"
+            if not killed:
+                assert (id_ in self.done) != (id_ in self.ends), id_
+            assert len(self.ends.get(id_, ())) <= 1
+        assert not self.twice_out or killed
+        for ids in self.order.values():
+            first = [i for n, i in enumerate(self.had) if i in set(ids) and i not in self.had[:n]]
+            assert first == [i for i in ids if i in first]
+
+
+@asynccontextmanager
+async def deployed(folder, clients=6):
+    ledger = Ledger()
+    partner = HttpStandIn(ledger.partner)
+    async with standing(partner) as address, standing(HttpStandIn(ledger.platform)) as platform:
+        made = Deployment(folder, address, platform)
+        try:
+            await ready(made.start())
+            async with anyio.create_task_group() as tasks:
+                for n in range(clients):
+                    tasks.start_soon(ledger.client, made.address, f"c{n}", n % 2 == 0)
+                yield made, ledger
+                ledger.stop = True
+            await until(ledger.settled, 10)
+        finally:
+            ledger.stop = True
+            made.end()
+
+
+async def test_two_upgrades_under_load_lose_nothing_and_nobody_notices(tmp_path):
+    async with deployed(tmp_path) as (made, ledger):
+        await anyio.sleep(0.5)
+        for _ in range(2):
+            old = made.processes[-1]
+            new = made.start()
+            await ready(new)
+            assert await call(old.door) != 200
+            old.send_signal(signal.SIGTERM)
+            with anyio.fail_after(3.7):
+                while old.poll() is None:
+                    await anyio.sleep(0.01)
+            assert old.returncode == 0
+            await anyio.sleep(0.5)
+    ledger.check()
+    assert not ledger.trouble and len(ledger.taken) > 200
+    events = [e["event"] for e in made.events(1)]
+    assert "inherited" in events and "recovered" not in events and "handed_over" in events
+
+
+async def test_a_ban_binds_both_processes_and_lasts(tmp_path):
+    async with deployed(tmp_path, clients=0) as (made, ledger):
+        old = made.processes[0]
+        assert await call(old.door, "PUT /-/endpoints/s-1/disable") == 200
+        new = made.start()
+        await ready(new)
+        assert await call(old.door, "PUT /-/endpoints/s-2/disable") == 200  # asked at the old one's door
+        client = Client(made.address)
+        for n in range(2):
+            assert await client.enqueue("status-update", f"m{n}", dest=1 + n) == "+OK\r\n"
+            ledger.taken[f"m{n}"] = "status-update", "0"
+        await anyio.sleep(0.4)
+        assert not ledger.had
+        assert await call(new.door, "PUT /-/endpoints/s-1/enable") == 200
+        assert await call(old.door, "PUT /-/endpoints/s-2/enable") == 200
+        assert await call(old.door, "PUT /-/endpoints/s-7/enable") == 404
+        await until(ledger.settled)
+    ledger.check()
