Let the lock decide who owns all when an upgrade's exchange breaks at its last word

Seen: tests/test_upgrade.py with a stand-in between the two processes that kills, cuts or garbles at each message: killed before it heard *taken*, the old process's lock stayed with the new one, which waited for itself for ever; a *taken* that was said and not heard left two owners. Cause: succession._collect kept the adopted lock after a failed send; Giver.broke resumed without asking the lock.

--- a/pinspread/core/handover.py
+++ b/pinspread/core/handover.py
@@ -12,7 +12,8 @@
     WAIT = "wait"
     GIVE = "give"  # come to rest and send all
     DECLINE = "decline"  # say no, with the reason
-    RESUME = "resume"  # take the lock back and serve on
+    RETAKE = "retake"  # let the lock go and ask for it anew
+    RESUME = "resume"  # serve on
     LEAVE = "leave"  # hand nothing over, finish and end
     FINISH = "finish"  # report what is still out, then end
     TAKE = "take"  # take the lock, read the journal
@@ -62,10 +63,15 @@
     def broke(self) -> Do:
         """The exchange ended, was declined or took too long."""
         if self.state == "at rest":
-            self.state = "serving"
-            return Do.RESUME
+            return Do.RETAKE
         return Do.FINISH if self.state == "given" else Do.WAIT
 
+    def retaken(self, own: bool) -> Do:
+        """It has let the lock go and asked for it anew: who holds it instead owns all."""
+        # Danger: a *taken* that was said and not heard would leave two owners; the lock has one.
+        self.state = "serving" if own else "given"
+        return Do.RESUME if own else Do.FINISH
+
 
 class Taker:
     """The new process: it owns nothing until it has the lock and has said *taken*."""
@@ -100,6 +106,6 @@
 
     def broke(self) -> Do:
         """The exchange ended before all had come: the old process is gone, or serves on."""
-        if self.state in ("asking", "collecting", "taking"):
-            self.state = "asking"
+        if self.state in ("asking", "collecting", "taking", "owner"):
+            self.state = "asking"  # its *taken* was not heard
         return Do.WAIT
--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -43,6 +43,10 @@
         self.path = Path(folder) / "journal"
         self.fresh = Path(folder) / "journal.new"
         self.resize(limit_bytes)
+        self.fd = -1
+        self._forget()
+
+    def _forget(self):
         self.size = 0
         self.live_bytes = 0
         self.live: dict[int, Transaction] = {}
@@ -53,7 +57,6 @@
         self.rules: dict[Rules, int] = {}  # those that records name, and their numbers
         self.latest: Rules | None = None
         self.numbered: dict[int, Rules] = {}  # number -> rules, while the file is read
-        self.fd = -1
 
     def resize(self, limit_bytes: int):
         """Another bound counts from now on; a file that is over it is rewritten at its next record."""
@@ -71,7 +74,7 @@
     def read(self):
         """Recover what is owed; nothing is written."""
         data = self.path.read_bytes() if self.path.exists() else b""
-        self.numbered = {}
+        self._forget()
         for payload in records(data):
             self._replay(payload)
 
--- a/pinspread/net/succession.py
+++ b/pinspread/net/succession.py
@@ -34,6 +34,7 @@
 MOST_PIECES = 2048  # of one message: 64 MB
 STEP_S = 2.0  # how long the other side may take for its next word
 AGAIN_S = 0.03
+BROKEN_S = 0.3  # after an exchange that broke: the old process has the lock back first
 BAN_S = 0.8  # an operator's answer is due in a second
 REST_S = 10.0  # how long a process that has handed over waits for its SIGTERM
 GRACE_US = 200_000  # past a branch's time, for the report of its end
@@ -220,7 +221,7 @@
 
 async def _collect(link, taker, owner, journal, own_shape):
     """One exchange; None if nothing came of it."""
-    found, lock = Inheritance(link=link), None
+    found, lock, again_s = Inheritance(link=link), None, 0.0
     try:
         with anyio.fail_after(STEP_S):
             await link.send(HELLO, own_shape.encode())
@@ -252,15 +253,19 @@
         raise
     except (OSError, ValueError, TimeoutError, KeyError) as error:
         log("handover_broke", error=str(error) or type(error).__name__, state=taker.state)
+        # Danger: without its *taken* heard, the old process serves on, or is gone and the lock free.
+        owner.leave()
         if isinstance(error, ValueError):
             taker.collected(False)  # garbled: it would be garbled again
         taker.broke()
+        again_s = BROKEN_S
     finally:
         if lock is not None:
             os.close(lock)
         if found.link is not None:
             found.close()
             link.close()
+    await anyio.sleep(again_s)
     if taker.state == "waiting for the lock":
         await _ask_to_leave(owner.folder)
     return None
@@ -485,6 +490,9 @@
         except (OSError, ValueError, TimeoutError, KeyError) as error:
             log("handover_broke", error=str(error) or type(error).__name__, state=self.giver.state)
             do = self.giver.broke()
+        if do is Do.RETAKE:
+            link.close()
+            do = self.giver.retaken(await self._retaken())
         if do is Do.RESUME:
             self.service.resume(given)
             return
@@ -492,6 +500,16 @@
         self.service.given(given)
         await heir.run()
 
+    async def _retaken(self):
+        """Whether the lock is this process's again: the other lets it go at once if it does not own all."""
+        owner = self.service.owner
+        owner.leave()
+        with anyio.move_on_after(STEP_S):
+            while not owner.take():
+                await anyio.sleep(AGAIN_S)
+            return True
+        return False
+
     async def _give(self, link, given):
         await link.send(STATE, given["blob"])
         for kept in given["legs"]:
