--- a/pinspread/net/http.py
+++ b/pinspread/net/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 to next hops: one call a connection at a time, a pool, and never a second try by itself."""
 
 import re
+import time
 
 import anyio
 import h11
@@ -57,6 +58,7 @@
         self.left = most
         self.seen = bytearray()  # until the first line has been found
         self.found = None
+        self.read_us = 0  # when the last bytes came, on the monotonic clock
 
     @staticmethod
     def encode(wire, method, target, host, headers, body):
@@ -99,6 +101,7 @@
         """What the first line says; that much stands whatever comes behind it."""
         while self.found is None:
             self.seen += await self._read()
+            self.read_us = time.monotonic_ns() // 1000
             self.found = first_line(self.seen)
         return self.found
 
@@ -228,7 +231,7 @@
             with anyio.move_on_after(self._seconds_to(branch.ends_us())):
                 return await self._call(branch, state)
             if state.written:
-                return Outcome(Verdict.TIMEOUT, state.wait_us)
+                return Outcome(Verdict.TIMEOUT, state.wait_us, note=state.heard(self.clock.now()))
             return Outcome(Verdict.CONNECT_FAILED, note="not written in time")
         except (OSError, ValueError) as error:
             if not state.written:
@@ -271,7 +274,7 @@
         if transaction.idempotency:
             headers.append(("Idempotency-Key", transaction.idempotency))
         headers.append(("Request-Timeout", f"{self._seconds_to(branch.ends_us()):.3f}"))
-        exchange = Exchange(state.connection)
+        exchange = state.exchange = Exchange(state.connection)
         await exchange.request("POST", "/events", hop.address, headers, transaction.body)
         state.written = True
         if await exchange.status() == 200:
@@ -345,7 +348,7 @@
 
 
 class _Call:
-    __slots__ = ("connection", "idle_us", "opened", "wait_us", "written")
+    __slots__ = ("connection", "exchange", "idle_us", "opened", "wait_us", "written")
 
     def __init__(self):
         self.connection = None
@@ -353,6 +356,13 @@
         self.opened = False
         self.written = False  # its last byte
         self.wait_us = 0  # told in a head, whatever became of the rest
+        self.exchange = None
+
+    def heard(self, now_us):
+        """What had come of the answer when the courier stopped waiting: silence, or a beginning."""
+        if not self.exchange.seen:
+            return "silent"
+        return f"{len(self.exchange.seen)} bytes, the last {(now_us - self.exchange.read_us) // 1000} ms ago"
 
 
 def _outcome(status, headers) -> Outcome:
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -182,3 +182,12 @@
         found = contents.feed(what)
         view = view[size:]
     assert found[0].reply_code == 312 and found[1].message_id == "m" and found[2] == b"y" * 9000
+
+
+def test_a_call_that_was_given_up_says_whether_an_answer_had_begun():
+    call = http._Call()
+    call.exchange = http.Exchange(None)
+    assert call.heard(5_000_000) == "silent"
+    call.exchange.seen += b"HTTP/1.1 2"
+    call.exchange.read_us = 3_000_000
+    assert call.heard(5_000_000) == "10 bytes, the last 2000 ms ago"
