--- a/pinspread/config/application.py
+++ b/pinspread/config/application.py
@@ -47,6 +47,7 @@
 class Listen(Part):
     resp: Address = ""
     amqp: Address = ""
+    admin: Address = ""
     heartbeat_s: Annotated[int, Field(ge=0, le=3600)] = 30
 
 
@@ -151,8 +152,10 @@
     listen, discovery = table("listen"), table("discovery")
     if not listen.get("resp") and not listen.get("amqp"):
         yield "listen", "nothing to listen on: give resp, amqp or both"
-    elif listen.get("resp") == listen.get("amqp"):
-        yield "listen.amqp", "resp has the same address"
+    used = [listen.get(name) for name in ("resp", "amqp", "admin")]
+    for n, name in enumerate(("amqp", "admin"), 1):
+        if used[n] and used[n] in used[:n]:
+            yield f"listen.{name}", f"{('resp', 'amqp')[used.index(used[n])]} has the same address"
     if listen.get("resp") and "notices" not in raw:
         yield "listen.resp", "needs notices.address: its clients hear of ends by notices"
     if bool(discovery.get("zone_file")) == bool(discovery.get("server")):
@@ -215,6 +218,7 @@
         {
             "name": file.application.name,
             "listen": file.listen.resp,
+            "admin_addr": file.listen.admin,
             "discovery": file.notices.address if file.notices else "",
             "state": file.journal.folder,
             "seed": f"{int.from_bytes(os.urandom(8)) if seed is None else seed:x}",
@@ -266,6 +270,7 @@
 [listen]                       # at least one; the AMQP front is off without an address
 resp = "127.0.0.1:6379"
 amqp = "127.0.0.1:5672"
+admin = "127.0.0.1:9600"       # the door for staff: ready, endpoints out and back
 heartbeat_s = 30
 
 [notices]                      # where ends of RESP2 messages are told
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -66,6 +66,7 @@
         ('name = "payment"', 'name = "status-update"', ["class[2].name"]),
         ("deadline_s = 24", "deadline_s = 2\nx = 1", ["class[0].x", "class[0].deadline_s"]),
         ('amqp = "127.0.0.1:5672"', 'amqp = "127.0.0.1:6379"', ["listen.amqp"]),
+        ('admin = "127.0.0.1:9600"', 'admin = "127.0.0.1:5672"', ["listen.admin"]),
         ("couriers = 1", "couriers =", ["line"]),
     ],
 )
