Send several messages in one call, and read what answers report of limits

Change: core/calls.py groups the branches of a turn, net/bundle.py writes the body and reads the answer, HttpTransport sends them and reads Server-Load of any answer. Off where the settings name neither. Checked: tests/test_bundle.py (tables, hypothesis, sockets: partial ends, spoilt answers, 400 and 413, a kill with a bundle out, odd reports).

--- a/pinspread/config/settings.py
+++ b/pinspread/config/settings.py
@@ -44,6 +44,7 @@
     dial_us: int
     keepalive_us: int
     admin: str = ""  # where the operators' door listens; empty: it is off
+    reports: bool = False  # answers tell what is left of a limit, and the limit
     passed: int | None = None  # the descriptor of a listening socket that the platform holds
     parts: frozenset = frozenset()  # paths of the settings' parts that are no lists
     raw: bytes = b""  # the file as it was read
@@ -153,7 +154,7 @@
     try:
         settings = told["settings"]
         text = "\n".join(flatten(settings)).encode()
-        module, _ = wire.read_settings(text)
+        module, fields = wire.read_settings(text)
         limits = settings["policyLimits"]
         return Told(
             name=env.get("RELAY_NAME") or told["name"],
@@ -174,6 +175,7 @@
             dial_us=limits["dialTimeoutNs"] // 1000,
             keepalive_us=limits["keepaliveNs"] // 1000,
             admin=env.get("RELAY_ADMIN_ADDR") or told.get("admin_addr") or "",
+            reports={"x0", "x1"} <= set(fields),
             passed=_descriptor(env.get("RELAY_PASSED_SOCKET")),
             parts=frozenset(_parts(settings)),
         )
--- /dev/null
+++ b/pinspread/core/calls.py
@@ -0,0 +1,15 @@
+"""Which branches of one turn share a call. No I/O, no clock."""
+
+NEAR = 0.9  # share of the longest time-out from which a branch may share its call
+
+
+def groups(branches, most):
+    """Branches of one turn to one next hop, as they share calls: at most so many, of about the same time."""
+    # Danger: one whose time is nearly up would cut its whole call short, and the others' part may have run.
+    calls = []
+    for branch in sorted(branches, key=lambda b: -b.timeout_us):
+        if calls and len(calls[-1]) < most and branch.timeout_us >= NEAR * calls[-1][0].timeout_us:
+            calls[-1].append(branch)
+        else:
+            calls.append([branch])
+    return [sorted(call, key=lambda b: b.transaction.number) for call in calls]
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -7,6 +7,7 @@
 
 from pinspread import interface as api
 from pinspread.core.bans import MOST_ID, Bans
+from pinspread.core.calls import groups
 from pinspread.core.journal import JournalFull
 from pinspread.core.log import log
 from pinspread.core.transactions import NEVER_RAN, Branch, Final, Outcome, State, Transaction
@@ -45,6 +46,7 @@
         self.told_us = {}  # dest, or route apart -> until when it told this courier to wait
         self.notified = {}  # key -> how many of its ends are still to be heard
         self.branches = {}  # (number, branch) -> Branch
+        self.sending = {}  # id of a next hop -> branches that this turn has started
         self.bans = Bans()
         self.serving = False  # all that is owed is known, and callers are heard
         self.stopping = False
@@ -250,6 +252,7 @@
         if events:
             for action in self.sender.handle(now_us * 1000, events):
                 self._perform(action, now_us)
+            self._launch()
         if self.stopping and not self.branches:
             self.calm.set()
 
@@ -287,7 +290,29 @@
         branch.heed = lambda wait_us: self._heed(hop, wait_us, self.clock.now())
         transaction.branches += 1
         self.branches[transaction.number, branch.number] = branch
-        self.tasks.start_soon(self._run_branch, branch)
+        self.sending.setdefault(hop.id, []).append(branch)
+
+    def _launch(self):
+        """Run the branches that this turn has started; those to one next hop share calls where they may."""
+        sending, self.sending = self.sending, {}
+        for branches in sending.values():
+            hop = branches[0].next_hop
+            most = self.settings.module.kind(hop.kind).bundle_max if hop.scheme == "http" else 1
+            for call in groups(branches, most):
+                if len(call) > 1:
+                    self.tasks.start_soon(self._run_call, call)
+                else:
+                    self.tasks.start_soon(self._run_branch, call[0])
+
+    async def _run_call(self, branches):
+        try:
+            outcomes = await self.transports[branches[0].next_hop.scheme].send_many(branches)
+        except Exception as error:
+            # Danger: as for one branch; those that were written may have run.
+            log("fault", where="call", error=repr(error))
+            outcomes = [_lost(branch) for branch in branches]
+        for branch, outcome in zip(branches, outcomes, strict=True):
+            self._branch_ended(branch, outcome)
 
     async def _run_branch(self, branch):
         transaction = branch.transaction
@@ -301,7 +326,7 @@
         except Exception as error:
             # Danger: a transport's fault must neither end the process nor pass for proof that nothing ran.
             log("fault", where="branch", error=repr(error))
-            outcome = Outcome(api.Verdict.RESET if transaction.live_us else api.Verdict.CONNECT_FAILED)
+            outcome = _lost(branch)
         self._branch_ended(branch, outcome)
 
     def _clear(self, branch):
@@ -377,6 +402,8 @@
                 (now_us - branch.started_us) * 1000,
                 transaction.number not in self.open,
                 outcome.wait_us * 1000,
+                allowance_left=outcome.left,
+                limit_per_s=outcome.limit,
                 opened=outcome.opened,
             )
         )
@@ -556,6 +583,10 @@
                 await anyio.sleep(0.005)
 
 
+def _lost(branch):
+    return Outcome(api.Verdict.RESET if branch.transaction.live_us else api.Verdict.CONNECT_FAILED)
+
+
 def _over(number, dest):
     return Transaction(number, "", "", "", dest, 0, "", 0)
 
--- a/pinspread/core/ports.py
+++ b/pinspread/core/ports.py
@@ -11,6 +11,9 @@
     async def send(self, branch: Branch) -> Outcome:
         """Run one branch, once; `branch.clear()` is asked right before the first byte is written."""
 
+    async def send_many(self, branches: list[Branch]) -> list[Outcome]:
+        """Run several branches to one next hop as one call; only for kinds whose settings allow it."""
+
     async def probe(self, next_hop: NextHop, clear) -> Outcome:
         """Ask a next hop how it is."""
 
--- a/pinspread/core/transactions.py
+++ b/pinspread/core/transactions.py
@@ -78,6 +78,8 @@
     note: str = ""
     idle_us: int = -1  # how long its connection had been idle; -1: it was new
     opened: bool = False  # a connection was opened for it, and came up
+    left: float = 0.0  # told share of the limit that is left
+    limit: float = 0.0  # the told limit in calls a second; 0: not told
 
 
 NEVER_RAN = (Verdict.FULL, Verdict.CONNECT_FAILED, Verdict.MOOT)  # what proves that a branch never ran
--- a/pinspread/net/http.py
+++ b/pinspread/net/http.py
@@ -9,6 +9,7 @@
 from pinspread.core.log import log
 from pinspread.core.transactions import Branch, NextHop, Outcome
 from pinspread.interface import Verdict
+from pinspread.net import bundle
 from pinspread.net.sockets import Connection, dial
 
 IDLE_SHARE = (
@@ -213,23 +214,28 @@
 class HttpTransport:
     """Next hops that take calls by `POST /events`."""
 
-    def __init__(self, clock, pool, dial_us):
+    def __init__(self, clock, pool, dial_us, reports=False):
         self.clock = clock
         self.pool = pool
         self.dial_us = dial_us
+        self.reports = reports  # whether answers tell of limits
 
     async def send(self, branch: Branch) -> Outcome:
         """Run one branch; what went wrong before its last byte was written proves that it never ran."""
         state = _Call()
-        outcome = await self._send(branch, state)
-        outcome.idle_us = state.idle_us
-        outcome.opened = state.opened
-        return outcome
+        return state.marked(await self._send(branch.ends_us(), state, self._call, branch))
+
+    async def send_many(self, branches: list[Branch]) -> list[Outcome]:
+        """Run several branches to one next hop as one call, which ends with the first of their times."""
+        state, told = _Call(), {}
+        ends_us = min(branch.ends_us() for branch in branches)
+        rest = await self._send(ends_us, state, self._call_many, branches, ends_us, told)
+        return [state.marked(told.get(b.transaction.id) or rest) for b in branches]
 
-    async def _send(self, branch, state):
+    async def _send(self, ends_us, state, call, *arguments):
         try:
-            with anyio.move_on_after(self._seconds_to(branch.ends_us())):
-                return await self._call(branch, state)
+            with anyio.move_on_after(self._seconds_to(ends_us)):
+                return await call(state, *arguments)
             if state.written:
                 return Outcome(Verdict.TIMEOUT, state.wait_us, note=state.heard(self.clock.now()))
             return Outcome(Verdict.CONNECT_FAILED, note="not written in time")
@@ -259,7 +265,7 @@
             if not state.connection.quiet():
                 raise OSError("closed by the next hop before the call")
 
-    async def _call(self, branch, state):
+    async def _call(self, state, branch):
         transaction, hop = branch.transaction, branch.next_hop
         try:
             await self._open(hop, state)
@@ -280,11 +286,9 @@
         if await exchange.status() == 200:
             await self._rest(exchange, hop, state)
             return Outcome(Verdict.OK)
-        status, answer = await exchange.response()
+        status, answer = await self._response(exchange, state)
         outcome = _outcome(status, answer)
-        if outcome.wait_us:
-            state.wait_us = outcome.wait_us
-            branch.heed(outcome.wait_us)  # binds from now on, though the body may take its time
+        self._heed(branch, outcome.wait_us, state)
         await exchange.finish()
         more = bytes(exchange.more)
         if more and not more.startswith(b"HTTP/1.1 %d" % status):
@@ -296,13 +300,72 @@
             await anyio.sleep(SLOT_S)
         return outcome
 
+    async def _call_many(self, state, branches, ends_us, told):
+        """Several branches; `told` takes the outcomes of those that fare by themselves."""
+        hop = branches[0].next_hop
+        try:
+            await self._open(hop, state)
+        except TimeoutError:
+            return Outcome(Verdict.CONNECT_FAILED, note="dial timed out")
+        written = []
+        for branch in branches:
+            why = branch.clear()
+            if why:
+                told[branch.transaction.id] = Outcome(Verdict.MOOT, note=why)
+            else:
+                written.append(branch)
+        if not written:
+            self.pool.keep(hop, state.connection)
+            state.connection = None
+            return None
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Request-Timeout", f"{self._seconds_to(ends_us):.3f}"),
+        ]
+        exchange = state.exchange = Exchange(state.connection)
+        data = bundle.body([branch.transaction for branch in written])
+        await exchange.request("POST", bundle.TARGET, hop.address, headers, data)
+        state.written = True
+        status, answer = await self._response(exchange, state)
+        wait_us = retry_after_us(answer.get(b"retry-after", b""))
+        self._heed(written[0], wait_us, state)
+        pieces = []
+        while (piece := await exchange.data()) is not None:
+            pieces.append(piece)
+        self._keep(exchange, hop, state)
+        if status == 200:
+            ids = [branch.transaction.id for branch in written]
+            told |= bundle.ends(b"".join(pieces), ids, wait_us)
+            return None
+        if status in (400, 413):
+            log("bundle_refused", status=status, size=len(written))
+            return Outcome(Verdict.FULL, wait_us, note=str(status))  # none has run
+        return _outcome(status, answer)
+
+    async def _response(self, exchange, state):
+        """Status and headers of an answer; what it reports of limits is kept."""
+        status, answer = await exchange.response()
+        text = answer.get(b"server-load") if self.reports else None
+        if text is not None:
+            try:
+                found = bundle.report(text.decode("ascii"))
+                state.left, state.limit = found.get("x0", 0.0), found.get("x1", 0.0)
+            except ValueError as error:
+                log("malformed_report", error=str(error))  # the answer counts all the same
+        return status, answer
+
+    def _heed(self, branch, wait_us, state):
+        if wait_us:
+            state.wait_us = wait_us
+            branch.heed(wait_us)  # binds from now on, though the body may take its time
+
     async def _rest(self, exchange, hop, state):
         """Behind a first line with 200 nothing counts any more, but for the connection."""
         # Danger: a head or body that never ends would turn a delivery into a time-out, and a payment that
         # was made into a failed one.
         with anyio.move_on_after(REST_S):
             try:
-                await exchange.response()
+                await self._response(exchange, state)
                 await exchange.finish()
             except (OSError, ValueError):
                 return
@@ -348,7 +411,7 @@
 
 
 class _Call:
-    __slots__ = ("connection", "exchange", "idle_us", "opened", "wait_us", "written")
+    __slots__ = ("connection", "exchange", "idle_us", "left", "limit", "opened", "wait_us", "written")
 
     def __init__(self):
         self.connection = None
@@ -357,6 +420,13 @@
         self.written = False  # its last byte
         self.wait_us = 0  # told in a head, whatever became of the rest
         self.exchange = None
+        self.left = self.limit = 0.0  # as the answer reports
+
+    def marked(self, outcome):
+        """An outcome with what its call has shown."""
+        outcome.idle_us, outcome.opened = self.idle_us, self.opened
+        outcome.left, outcome.limit = self.left, self.limit
+        return outcome
 
     def heard(self, now_us):
         """What had come of the answer when the courier stopped waiting: silence, or a beginning."""
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -46,7 +46,7 @@
         self.courier = courier = Courier(Sender(told.module, told.seed), told, clock, journal)
         self.pool = Pool(clock, told.keepalive_us)
         self.notices = front.Notices(told.discovery)
-        courier.transports["http"] = HttpTransport(clock, self.pool, told.dial_us)
+        courier.transports["http"] = HttpTransport(clock, self.pool, told.dial_us, told.reports)
         self.room = sockets.Room(clock, *_legs(told))
         courier.fronts[front.NAME] = self.first = front.RespFront(courier, self.notices, self.room)
         courier.fronts[AMQP] = self.second = AmqpFront(courier, amqp.heartbeat_s, self.room)
@@ -256,6 +256,7 @@
     fixed = [n for n in ("name", "listen", "state", "admin") if getattr(told, n) != getattr(old, n)]
     courier.settle(told)
     courier.transports["http"].dial_us = told.dial_us
+    courier.transports["http"].reports = told.reports
     pool.keep_for(told.keepalive_us)
     room.resize(*_legs(told))
     courier.journal.resize(told.disk_bytes)
--- /dev/null
+++ b/tests/test_bundle.py
@@ -0,0 +1,242 @@
+"""Several messages in one call, and reports in answers."""
+
+from base64 import b64decode
+from types import SimpleNamespace
+
+import anyio
+import orjson
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from standins import Client, HttpStandIn, configuration, courier, standing, until
+from test_settings import lane
+
+from pinspread.config import settings
+from pinspread.core.calls import groups
+from pinspread.interface import AttemptEnded, Verdict
+from pinspread.net import bundle
+
+pytestmark = pytest.mark.anyio
+HEARD = (204, [], b"")
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+# --- what is pure -------------------------------------------------------------------------------------
+
+
+@given(st.lists(st.integers(1, 10_000), max_size=20), st.integers(1, 6))
+def test_calls_hold_each_branch_once_at_most_so_many_and_of_about_one_time(times, most):
+    branches = [
+        SimpleNamespace(timeout_us=t, transaction=SimpleNamespace(number=n)) for n, t in enumerate(times)
+    ]
+    calls = groups(branches, most)
+    assert sorted(b.transaction.number for call in calls for b in call) == list(range(len(times)))
+    for call in calls:
+        waits = [b.timeout_us for b in call]
+        assert len(call) <= most and min(waits) >= 0.9 * max(waits)
+
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-9, 9)
+    | st.sampled_from(["a", "b", "ok", "later", "id", "state"]),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.sampled_from(["id", "state"]), inner),
+)
+
+
+@given(JSON | st.binary(max_size=30))
+def test_whatever_an_answer_holds_only_a_state_told_once_is_believed(answer):
+    raw = answer if isinstance(answer, bytes) else orjson.dumps(answer)
+    found = bundle.ends(raw, ["a", "b"], 0)
+    assert list(found) == ["a", "b"]
+    items = [i for i in answer if isinstance(i, dict)] if isinstance(answer, list) else []
+    for id_, outcome in found.items():
+        told = [i.get("state") for i in items if i.get("id") == id_]
+        if len(told) != 1 or told[0] not in ("ok", "later"):
+            assert outcome.verdict is Verdict.ERROR
+
+
+@pytest.mark.parametrize(
+    ("state", "verdict", "over"),
+    [
+        ("ok", Verdict.OK, False),
+        ("error", Verdict.ERROR, False),
+        ("later", Verdict.FULL, False),
+        ("gone", Verdict.MOOT, True),
+        ("exhausted", Verdict.MOOT, False),
+        ("OK", Verdict.ERROR, False),
+        (["ok"], Verdict.ERROR, False),
+    ],
+)
+def test_states_of_an_answer(state, verdict, over):
+    raw = orjson.dumps([{"id": "m", "state": state}, {"id": "invented", "state": "ok"}])
+    outcome = bundle.ends(raw, ["m"], 7)["m"]
+    assert (outcome.verdict, outcome.over) == (verdict, over)
+    assert outcome.wait_us == (0 if state == "ok" else 7)
+
+
+@pytest.mark.parametrize(
+    ("text", "found"),
+    [
+        ("x0=0.4,x1=25", {"x0": 0.4, "x1": 25.0}),
+        ("x1=0", {"x1": 0.0}),
+        (" x0=1 , new=3", {"x0": 1.0, "new": 3.0}),
+        *(
+            (text, None)
+            for text in ("", "x0", "x0=", "=1", "x0=nan", "x0=inf", "x0=-1", "x0=1,x0=2", "x0=1;x1=2")
+        ),
+    ],
+)
+def test_load_reports(text, found):
+    if found is None:
+        with pytest.raises(ValueError):
+            bundle.report(text)
+    else:
+        assert bundle.report(text) == found
+
+
+# --- on sockets ----------------------------------------------------------------------------------------
+
+
+def bundled(request):
+    """The ids of a call, in order."""
+    return [item["id"] for item in orjson.loads(request[4])]
+
+
+async def slow_first(n, answer):
+    await anyio.sleep(0.1 if n == 1 else 0)
+    return await answer if hasattr(answer, "__await__") else answer
+
+
+class Partner(HttpStandIn):
+    """Takes bundles; `fate(n, ids)` answers call n."""
+
+    def __init__(self, fate=None):
+        self.calls = []
+        self.fate = fate or (lambda n, ids: all_ok(ids))
+        super().__init__(self.take)
+
+    def take(self, request):
+        return slow_first(len(self.calls) + 1, self.at_once(request))
+
+    def at_once(self, request):
+        ids = bundled(request) if request[2] == bundle.TARGET else [request[3]["request-id"]]
+        self.calls.append(ids)
+        if request[2] != bundle.TARGET:
+            return 200, [], b""
+        return self.fate(len(self.calls), ids)
+
+
+def all_ok(ids, *odd):
+    states = {i: "ok" for i in ids} | dict(odd)
+    return 200, [], orjson.dumps([{"id": i, "state": s} for i, s in states.items()])
+
+
+def told(folder):
+    """Settings of the second shape: one keyed class, bundles of three, routes apart, reports, no probes."""
+    found = configuration(folder)["settings"]
+    found["lanes"] = [lane("payment", effect="once"), lane("notice", effect="by_key", windowNs=6 * 10**9)]
+    found["specifics"] = {"bundleMax": [3], "callsOut": 1, "kindApart": [True]}
+    found["policyLimits"] |= {"probes": False, "sendCap": 8}
+    found["report"] = {"how": "answers", "fields": ["x0", "x1"]}
+    return settings.read(configuration(folder) | {"settings": found}, {})
+
+
+async def played(folder, partner, messages=5, cls="notice", wait=True):
+    """Hand messages in while the first is out alone, so that the rest go together; notices that came."""
+    platform = HttpStandIn(lambda request: HEARD)
+    async with standing(platform) as address, standing(partner) as where, courier(folder, address) as rig:
+        rig.courier.settle(told(folder))
+        http = rig.courier.transports["http"]
+        http.reports = True
+        rig.learn(where)
+        await anyio.sleep(0.02)
+        client = Client(rig.address)
+        async with anyio.create_task_group() as tasks:
+            for n in range(messages):
+                await client.enqueue(cls, f"m{n}", for_ms=24_000, body=bytes([n]) * 9)
+            tasks.cancel_scope.cancel()
+        if wait:
+            await until(lambda: not rig.courier.ids, 8)
+        else:
+            await until(lambda: len(partner.calls) > 1)
+    return {line["id"]: line["state"] for line in platform.lines}
+
+
+async def test_messages_that_wait_go_together_and_each_has_its_own_end(tmp_path):
+    fates = {}
+
+    def fate(n, ids):
+        fates[n] = ids
+        return all_ok(ids, (ids[0], "later")) if n == 2 else all_ok(ids)
+
+    partner = Partner(fate)
+    ends = await played(tmp_path, partner)
+    assert not ends
+    assert partner.calls[0] == ["m0"] and partner.calls[1] == ["m1", "m2", "m3"]
+    assert sum(ids.count("m1") for ids in partner.calls) == 2  # only what never ran came again
+    assert all(sum(ids.count(f"m{n}") for ids in partner.calls) == 1 for n in (0, 2, 3, 4))
+    first = next(r for r in partner.requests if r[2] == bundle.TARGET)
+    item = orjson.loads(first[4])[0]
+    assert item["key"] == "ab12" and b64decode(item["body"]) == b"\x01" * 9
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        (200, [], b'[{"id":"m1","state":"ok"}'),  # cut off
+        (200, [], b"[]"),
+        (200, [], b'[{"id":"m1","state":"later"},{"id":"m1","state":"later"}]'),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n[",  # the rest never comes
+        b"noise\r\n\r\n",
+        (500, [], b""),
+    ],
+)
+async def test_payments_that_an_answer_does_not_tell_truly_of_never_go_again(tmp_path, answer):
+    partner = Partner(lambda n, ids: answer)
+    ends = await played(tmp_path, partner, 4, "payment")
+    assert sorted(ends) == ["m1", "m2", "m3"] and set(ends.values()) == {"failed"}
+    assert partner.calls == [["m0"], ["m1", "m2", "m3"]]
+
+
+@pytest.mark.parametrize("status", [400, 413, 429, 503])
+async def test_a_call_that_is_turned_away_whole_never_ran_and_payments_go_again(tmp_path, status):
+    head = [("Retry-After", "0.3")] if status == 429 else []
+    partner = Partner(lambda n, ids: (status, head, b"") if n == 2 else all_ok(ids))
+    assert not await played(tmp_path, partner, 4, "payment")
+    for n in (1, 2, 3):
+        assert sum(ids.count(f"m{n}") for ids in partner.calls) == 2
+
+
+async def test_a_kill_with_a_bundle_out_leaves_each_message_as_one_that_may_have_run(tmp_path):
+    partner = Partner(lambda n, ids: anyio.sleep(9))
+    await played(tmp_path, partner, 4, "payment", wait=False)
+    platform, after = HttpStandIn(lambda request: HEARD), Partner()
+    async with standing(platform) as address, standing(after) as where:
+        async with courier(tmp_path, address, hops=[(where,)]) as rig:
+            await until(lambda: not rig.courier.ids)
+    assert {line["id"]: line["state"] for line in platform.lines} == {f"m{n}": "failed" for n in (1, 2, 3)}
+    assert not after.calls
+
+
+@pytest.mark.parametrize(("report", "limit"), [("x0=0.25,x1=40", 40.0), ("x0=?", 0.0)])
+async def test_reports_of_good_and_bad_answers_reach_the_module_and_odd_ones_harm_nothing(
+    tmp_path, report, limit
+):
+    replies = [(503, [("Server-Load", report)], b"")]
+    hop = HttpStandIn(lambda r: replies.pop() if replies else (200, [("Server-Load", report)], b""))
+    heard = []
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        rig.courier.transports["http"].reports = True
+        post = rig.courier.post
+        rig.courier.post = lambda event: (heard.append(event), post(event))
+        assert await Client(rig.address).enqueue() == "+OK\r\n"
+        await until(lambda: not rig.courier.ids)
+    ended = [e for e in heard if type(e) is AttemptEnded]
+    assert [e.verdict for e in ended] == [Verdict.FULL, Verdict.OK]
+    assert [e.limit_per_s for e in ended] == [limit, limit]
