--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -30,7 +30,10 @@
     write.add_argument("name")
     write.add_argument("--file", help="where to (deploy/NAME.toml)")
     for name, text in (
-        ("check", "name every problem of a file with its place"),
+        (
+            "check",
+            "name every problem of a file with its place; of a platform's .json, what will count",
+        ),
         ("records", "print the courier's own DNS-SD records"),
         ("hops", "print the next hops that the file's discovery finds"),
     ):
@@ -103,6 +106,10 @@
             raise settings.SettingsError(f"{path}: {error.strerror}") from None
         print(path)
         return 0
+    if chosen.action == "check" and chosen.file.endswith(".json"):
+        told = settings.from_environment({"RELAY_CONFIG": chosen.file})
+        print(f"{chosen.file}: no problems", *settings.summary(told), sep="\n")
+        return 0
     file = application.load(chosen.file)
     if chosen.action == "check":
         print(f"{chosen.file}: no problems")
--- a/pinspread/config/settings.py
+++ b/pinspread/config/settings.py
@@ -185,6 +185,28 @@
         raise SettingsError(f"configuration: {error}") from None
 
 
+def summary(told: Told):
+    """What the courier will go by, a line each, for whoever checks a deployment before it is served."""
+    s, ms = told.module, 1_000_000
+    for name, rules in told.rules.items():
+        c = rules.cls
+        window = f", repeats dropped for {c.window_ns // ms} ms" if c.window_ns else ""
+        order = "in order for each key" if c.in_order else "in any order"
+        time = f"wanted in {c.aim_ns // ms} ms, given up at {c.deadline_ns // ms} ms"
+        yield f"class {name}: {c.effect.value}{window}; {order}; {time}; {rules.max_attempts} attempts"
+    for name, n in told.kinds.items():
+        kind = s.kind(n)
+        routes = "each endpoint a route apart" if kind.routes_apart else "endpoints share one limit"
+        yield f"kind {name}: {kind.bundle_max} messages a call at most; {routes}"
+    yield f"zones: {', '.join(told.zones)}; a call to another costs {s.crossing_price:g} of a message"
+    yield f"slots: {s.calls_out} calls out, {s.most_held} messages held, {s.senders} couriers"
+    yield f"rules: nothing new {s.drain_grace_ns // ms} ms after a drain; cold for {s.cold_ns // ms} ms"
+    asked = f"asked, at least every {s.must_ask_in_ns // ms} ms" if s.list_on_request else "pushed"
+    yield f"list: {asked}; limits {'listed' if s.weights_known else 'not listed'}"
+    probes, reports = ("yes" if on else "no" for on in (s.may_probe, told.reports))
+    yield f"probes: {probes}; reports of limits in answers: {reports}; door: {told.admin or 'off'}"
+
+
 def _rules(lanes, module):
     found = {}
     for lane, cls in zip(lanes, module.classes, strict=True):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -13,6 +13,7 @@
 from standins import Client, HttpStandIn, configuration, courier, standing, until
 from test_platform import HEARD, Process, platform
 
+from pinspread.__main__ import main
 from pinspread.config import settings
 from pinspread.core.journal import Journal
 from pinspread.core.transactions import Rules, Transaction
@@ -204,3 +205,15 @@
         await process.ready()
         assert await process.client.enqueue("refund") == "+OK\r\n"
         await process.end(signal.SIGTERM)
+
+
+def test_config_check_of_a_platforms_file_says_what_will_count_or_what_is_missing(tmp_path, capsys):
+    told = configuration(tmp_path)
+    (tmp_path / "c.json").write_bytes(orjson.dumps(told))
+    assert main(["config", "check", str(tmp_path / "c.json")]) == 0
+    said = capsys.readouterr().out
+    assert "class payment: once" in said and "nothing new 250 ms after a drain" in said
+    del told["settings"]["rules"]["drainGraceNs"]
+    (tmp_path / "c.json").write_bytes(orjson.dumps(told))
+    assert main(["config", "check", str(tmp_path / "c.json")]) == 2
+    assert "rules.drainGraceNs is missing" in capsys.readouterr().err
