Send nothing by the list of before a restart until the list as it is now has come

Change: a start follows discovery first and waits for its first word, 0.3 s at most, before the turn loop and the fronts begin; an answer that fails ends the wait at once. After a hand-over nothing waits: the list went over. Checked: a test with a discovery that answers after 0.15 s, which fails without the wait.

--- a/pinspread/config/dnssd.py
+++ b/pinspread/config/dnssd.py
@@ -119,6 +119,7 @@
         self.services = services
         self.refresh_s = refresh_s
         self.last = None
+        self.first = anyio.Event()
 
     def start(self):
         """Nothing is known before the first answer."""
@@ -155,6 +156,7 @@
                     log("list", scope="FULL", hops=len(found))
             except (OSError, ValueError, dns.exception.DNSException) as error:
                 log("discovery_failed", error=str(error) or type(error).__name__)
+            self.first.set()
             await anyio.sleep(self.refresh_s)
 
 
--- a/pinspread/core/ports.py
+++ b/pinspread/core/ports.py
@@ -25,7 +25,9 @@
 
 
 class Discovery(Protocol):
-    """Tells the core of next hops, by its `learn`."""
+    """Tells the core of next hops, by its `learn`; `first` is set once it has asked."""
+
+    first: object  # anyio.Event
 
     def start(self) -> None:
         """Tell what is known without asking."""
--- a/pinspread/net/discovery.py
+++ b/pinspread/net/discovery.py
@@ -41,6 +41,7 @@
         self.failed = 0  # watches in a row that did not come up
         self.random = random.Random(told.seed)
         self.tasks = None
+        self.first = anyio.Event()  # the list as it is now has been read, or can't be had
         self.current = None  # the scope of the task whose watch is followed
 
     def start(self):
@@ -88,6 +89,7 @@
                     await self._watch(address, scope)
                 except (OSError, ValueError, TimeoutError) as error:
                     log("watch_broke", address=address, error=str(error) or type(error).__name__)
+                self.first.set()
                 await anyio.sleep(again_s(self.failed, self.told.module.senders, self.random.random()))
                 self.failed += 1
 
@@ -124,6 +126,7 @@
                 for line in lines:
                     if line.strip():
                         self._learn(orjson.loads(line), moved=address != self.address)
+                    self.first.set()  # an empty line: nothing has changed
         finally:
             connection.close()
 
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -23,6 +23,7 @@
 
 OWNER_S = 5.0  # how long a start waits for a process that still owns the folder
 HANDED_S = 10.0  # how long a process that has handed over waits for its SIGTERM
+FIRST_LIST_S = 0.3  # how long a start waits for the list as it is now, before it sends what is owed
 FINISH_S = 3.2  # and after that, for what it has out
 
 
@@ -94,9 +95,15 @@
         if self.amqp.listen:
             self.listening[AMQP] = sockets_.get(AMQP) or sockets.listen(self.amqp.listen)
         settings.keep_good(told)
+        self._follow()
+        if not before:
+            # Danger: what the list says by now counts as told. What is owed would go out by the last list of
+            # before the end, to endpoints that drain or are gone, until the first answer has come.
+            with anyio.move_on_after(FIRST_LIST_S):
+                await self.discovery.first.wait()
         for run in (courier.run, self.pool.run, self.room.run):
             tasks.start_soon(run)
-        self._serve(legs)
+        self._hear(legs)
         courier.serving = True
         log("serving", name=told.name, listen=told.listen, amqp=self.amqp.listen, admin=told.admin)
         if told.passed is not None:
@@ -134,12 +141,15 @@
         except TimeoutError:
             raise OSError(f"{self.told.state}: another process owns it; end that one first") from None
 
-    def _serve(self, legs):
-        """Hear callers, follow discovery, post notices."""
+    def _follow(self):
+        """Follow discovery, post notices."""
         for run in (self.notices.run, self.discovery.run):
             scope = anyio.CancelScope()
             self.scopes.append(scope)
             self.tasks.start_soon(_within, scope, run)
+
+    def _hear(self, legs):
+        """Hear callers."""
         if front.NAME in self.listening:
             self.tasks.start_soon(self.first.run, self.listening[front.NAME], legs)
         if AMQP in self.listening:
@@ -195,7 +205,8 @@
         """The other process did not take over: serve on."""
         self.pool.adopt(given["idle"])
         self.courier.resume()
-        self._serve(given["legs"])
+        self._follow()
+        self._hear(given["legs"])
         log("resumed", legs=len(given["legs"]))
 
     def given(self, given):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -619,6 +619,25 @@
     assert [event.opened for event in heard if type(event) is AttemptEnded] == [True, False, False]
 
 
+async def test_a_start_sends_nothing_by_the_old_list_before_the_first_answer(tmp_path):
+    state, hop = tmp_path / "state", HttpStandIn()
+    state.mkdir()
+    async with courier(state) as rig:
+        await Client(rig.address).enqueue("status-update", "owed", for_ms=9000)
+
+    def discovery(request):
+        if request[2] == "/v2/finals":
+            return HEARD
+        return late(0.15, (200, [], orjson.dumps(news) + b"\n"))
+
+    async with standing(hop) as address, standing(HttpStandIn(discovery)) as where:
+        news = {"seq": 9, "whole": True, "hosts": [host("s-1", address, health="draining")]}
+        process = await Process(tmp_path, address, where).ready()  # its file still has it as ready
+        await anyio.sleep(0.3)
+        assert not hop.requests
+        await process.end(signal.SIGKILL)
+
+
 async def test_a_watch_that_moves_keeps_the_old_one_until_the_new_one_is_up(tmp_path):
     news = orjson.dumps({"seq": 5, "whole": True, "hosts": [host("s-1", "127.0.0.1:9")]}) + b"\n"
     stays = HttpStandIn(lambda request: (200, [], news))
