--- /dev/null
+++ b/benchmarks/daily.py
@@ -0,0 +1,122 @@
+"""The operators' door in a crowd and under load, and the time of an upgrade, on real processes on loopback.
+
+    .venv/bin/python benchmarks/daily.py [--calls 200] [--silent 300] [--upgrades 3]
+
+Prints the share of answers within 1 s, their median and longest time in milliseconds, and for each upgrade how long the new
+process took to say ready, and how many messages of the load met a refused, reset or silent connection.
+"""
+
+import argparse
+import os
+import signal
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import anyio
+import orjson
+
+from pinspread.fleet.loopback.parties import Client, HttpStandIn, configuration, host, listener, standing
+from pinspread.net import sockets
+
+
+class Processes:
+    """A courier's processes one after the other, on one passed socket."""
+
+    def __init__(self, folder, partner, platform):
+        self.sock, self.address = listener()
+        self.folder = Path(folder)
+        (self.folder / "state").mkdir()
+        told = configuration(self.folder / "state")
+        told["known"]["hosts"] = [host("s-1", partner)]
+        self.told = told | {"listen": self.address, "discovery": platform}
+        self.count = 0
+
+    def start(self):
+        self.count += 1
+        door = f"127.77.{os.getpid() % 250}.{self.count}:9600"
+        file = self.folder / "config.json"
+        file.write_bytes(orjson.dumps(self.told | {"admin_addr": door}))
+        env = os.environ | {"RELAY_CONFIG": str(file), "RELAY_PASSED_SOCKET": str(self.sock.fileno())}
+        command = [sys.executable, "-m", "pinspread"]
+        quiet = subprocess.DEVNULL
+        return door, subprocess.Popen(command, env=env, pass_fds=[self.sock.fileno()], stdout=quiet)
+
+
+async def asked(door):
+    """Seconds until the door has answered `ready`, and its status; 0 without an answer."""
+    began = time.monotonic()
+    try:
+        connection = await sockets.dial(door)
+        await connection.write(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        with anyio.fail_after(5):
+            status = int((await connection.read()).split(b" ", 2)[1])
+        connection.close()
+    except (OSError, TimeoutError, IndexError):
+        status = 0
+    return time.monotonic() - began, status
+
+
+async def ready(door):
+    began = time.monotonic()
+    while (await asked(door))[1] != 200:
+        await anyio.sleep(0.01)
+    return time.monotonic() - began
+
+
+async def load(address, trouble, stop):
+    client, n = Client(address, again=True), 0
+    while not stop.is_set():
+        n += 1
+        try:
+            with anyio.fail_after(0.4):
+                await client.enqueue("status-update", f"{id(client):x}.{n}")
+        except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError) as error:
+            trouble.append(repr(error))
+            client = Client(address, again=True)
+        await anyio.sleep(0.01)
+
+
+async def main(options):
+    stop, trouble = anyio.Event(), []
+    platform = HttpStandIn(lambda request: (204 if request[2] == "/v2/finals" else 503, [], b""))
+    with tempfile.TemporaryDirectory() as folder:
+        async with standing(HttpStandIn()) as partner, standing(platform) as where:
+            processes = Processes(folder, partner, where)
+            door, process = processes.start()
+            await ready(door)
+            async with anyio.create_task_group() as tasks:
+                for _ in range(8):
+                    tasks.start_soon(load, processes.address, trouble, stop)
+                crowd = [await sockets.dial(processes.address) for _ in range(options.silent)]
+                crowd += [await sockets.dial(door) for _ in range(options.silent // 4)]
+                found = [await asked(door) for _ in range(options.calls)]
+                times = sorted(1000 * seconds for seconds, status in found if status == 200)
+                share = sum(t < 1000 for t in times) / options.calls
+                print(
+                    f"door: {share:.3f} in time, median {statistics.median(times):.1f} ms, longest {times[-1]:.1f} ms"
+                )
+                for connection in crowd:
+                    connection.close()
+                for n in range(options.upgrades):
+                    new_door, new = processes.start()
+                    took = await ready(new_door)
+                    process.send_signal(signal.SIGTERM)
+                    await anyio.to_thread.run_sync(process.wait)
+                    process = new
+                    print(
+                        f"upgrade {n + 1}: ready after {took:.2f} s, {len(trouble)} messages met trouble so far"
+                    )
+                stop.set()
+            process.send_signal(signal.SIGTERM)
+            await anyio.to_thread.run_sync(process.wait)
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    for name, value in (("calls", 200), ("silent", 300), ("upgrades", 3)):
+        parser.add_argument(f"--{name}", type=int, default=value)
+    anyio.run(main, parser.parse_args())
