--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -218,7 +218,7 @@
         if kind > RULES:
             # Danger: passed over, what a newer version recorded would be done again, or never.
             raise JournalUnreadable(
-                f"{self.path}: a record of kind {kind}, from a newer version: start that one"
+                f"{self.path}: a record of kind {kind} of a newer version: start that one"
             )
         if kind == TAKEN:
             _, number, size = _TAKEN.unpack_from(payload)
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,8 +2,10 @@
 
 import os
 
+import orjson
 import pytest
 
+from pinspread.core import journal as journal_module
 from pinspread.core.journal import Journal, JournalFull, records
 from pinspread.core.transactions import Final, State, Transaction
 
@@ -106,3 +108,20 @@
     journal.taken(message(3))
     journal.close()
     assert [t.number for t in opened(tmp_path)[1]] == [1, 3]
+
+
+def test_a_journal_of_before_rules_were_kept_is_read_and_one_of_a_newer_version_refused(tmp_path):
+    told = {"id": "a", "cls": "payment", "tenant": "north", "dest": 1, "key": 0, "idempotency": ""}
+    text = orjson.dumps(told | {"until_unix_us": 10**15, "front": "resp", "reply": {}})
+    taken = journal_module._TAKEN.pack(journal_module.TAKEN, 7, len(text)) + text + b"body"
+    path = tmp_path / "journal"
+    path.write_bytes(journal_module._record(taken))
+    old = Journal(str(tmp_path), 3_000_000)
+    (found,) = old.open()
+    assert (found.number, found.body, found.rules) == (7, b"body", None)
+    old.close()
+    path.write_bytes(path.read_bytes() + journal_module._record(bytes([99]) + bytes(8)))
+    before = path.read_bytes()
+    with pytest.raises(journal_module.JournalUnreadable, match="kind 99"):
+        Journal(str(tmp_path), 3_000_000).open()
+    assert path.read_bytes() == before  # nothing was written over it
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -14,6 +14,7 @@
 import pytest
 from standins import Client, HttpStandIn, configuration, host, listener, own_address, standing, until
 
+from pinspread.core import journal
 from pinspread.net import sockets, succession
 
 pytestmark = pytest.mark.anyio
@@ -304,3 +305,35 @@
             tasks.cancel_scope.cancel()
     ledger.check(killed=True)
     assert len(ledger.taken) > 20
+
+
+async def test_a_journal_of_a_newer_version_is_refused_plainly_and_the_old_process_serves_on(tmp_path):
+    async with deployed(tmp_path, clients=2) as (made, ledger):
+        await anyio.sleep(0.3)
+        with open(tmp_path / "state" / "journal", "ab") as file:
+            file.write(journal._record(bytes([99]) + bytes(8)))
+        new = made.start()
+        assert await anyio.to_thread.run_sync(new.wait) == 1
+        said = (tmp_path / "log1").read_bytes().splitlines()[-1]
+        assert b"a record of kind 99 of a newer version" in said
+        await ready(made.processes[0], 3)
+        made.processes[0].send_signal(signal.SIGHUP)
+        await anyio.sleep(0.3)
+    ledger.check()
+    assert not ledger.trouble
+
+
+async def test_settings_that_change_while_both_processes_are_there_count_in_the_one_that_owns(tmp_path):
+    async with deployed(tmp_path, clients=0) as (made, _):
+        old, new = made.processes[0], made.start()
+        await ready(new)
+        lanes = made.told["settings"]["lanes"]
+        made.told["settings"]["lanes"] = [*lanes, lanes[-1] | {"name": "refund"}]
+        made.file.write_bytes(orjson.dumps(made.told))
+        for process in (old, new, old):
+            process.send_signal(signal.SIGHUP)
+        client = Client(made.address)
+        with anyio.fail_after(3):
+            while await client.enqueue("refund") != "+OK\r\n":
+                await anyio.sleep(0.02)
+        assert old.poll() is None
