--- /dev/null
+++ b/tests/test_swim.py
@@ -0,0 +1,142 @@
+"""SWIM's decisions, on a network in memory: deaths found, pauses borne, rumours that do not raise the dead."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pinspread.cluster import swim
+
+MS = 1000
+
+
+class Net:
+    """Members that hear each other after `delay_us`, with a share lost and some members stopped."""
+
+    def __init__(self, n, loss=0.0, seed=1, tuning=swim.Tuning()):
+        self.rng = random.Random(seed)
+        self.loss, self.now, self.flying = loss, 0, []
+        self.members = {}
+        for i in range(n):
+            self.members[f"m{i}"] = swim.Member(
+                f"m{i}", f"a{i}", seeds=["a0"], tuning=tuning, rng=random.Random(seed * 100 + i)
+            )
+        self.stopped, self.cut = set(), set()  # ids; (from, to) pairs
+
+    def at(self, address):
+        return next(m for m in self.members.values() if m.address == address)
+
+    def send(self, sender, out):
+        for address, message in out:
+            to = self.at(address)
+            if (sender.id, to.id) in self.cut or self.rng.random() < self.loss:
+                continue
+            self.flying.append((self.now + 2 * MS, to.id, message))
+
+    def run(self, until_us, step_us=10 * MS):
+        while self.now < until_us:
+            self.now += step_us
+            due = [f for f in self.flying if f[0] <= self.now]
+            self.flying = [f for f in self.flying if f[0] > self.now]
+            for _, to, message in due:
+                if to not in self.stopped:
+                    self.send(self.members[to], self.members[to].heard(message, self.now))
+            for m in self.members.values():
+                if m.id not in self.stopped:
+                    self.send(m, m.tick(self.now))
+
+    def state(self, seer, of):
+        node = self.members[seer].table.get(of)
+        return node.state if node else None
+
+    def states(self, of):
+        return {self.state(m, of) for m in self.members if m != of and m not in self.stopped}
+
+
+def test_members_join_through_a_seed_and_see_all():
+    net = Net(6)
+    net.run(15_000 * MS)
+    for m in net.members.values():
+        assert len(m.others(swim.ALIVE)) == 5, m.view()
+
+
+def test_a_stopped_member_is_found_dead_by_all():
+    net = Net(6)
+    net.run(15_000 * MS)
+    net.stopped.add("m3")
+    net.run(45_000 * MS)
+    assert net.states("m3") == {swim.DEAD}
+
+
+def test_a_short_pause_is_suspected_at_most_and_refuted():
+    net = Net(6)
+    net.run(15_000 * MS)
+    net.stopped.add("m3")
+    net.run(net.now + 1_500 * MS)  # past the probe time-out, well short of the suspicion time-out
+    net.stopped.discard("m3")
+    net.run(net.now + 20_000 * MS)
+    assert net.states("m3") == {swim.ALIVE}
+    seen = [e for m in net.members.values() for e in m.events if e.get("id") == "m3"]
+    assert not any(e["state"] == swim.DEAD for e in seen)
+
+
+def test_a_long_pause_is_dead_then_back_with_a_higher_incarnation():
+    net = Net(6)
+    net.run(15_000 * MS)
+    net.stopped.add("m3")
+    net.run(net.now + 60_000 * MS)
+    dead_at = net.members["m0"].table["m3"].incarnation
+    net.stopped.discard("m3")
+    net.run(net.now + 30_000 * MS)
+    assert net.states("m3") == {swim.ALIVE}
+    assert net.members["m3"].incarnation > dead_at
+
+
+def test_a_one_way_cut_keeps_the_member_alive_by_indirect_probes():
+    net = Net(6)
+    net.run(15_000 * MS)
+    net.cut |= {("m0", "m3"), ("m3", "m0")}
+    net.run(net.now + 60_000 * MS)
+    assert net.states("m3") == {swim.ALIVE}
+
+
+def test_ten_percent_loss_kills_nobody():
+    net = Net(8, loss=0.10, seed=4)
+    net.run(90_000 * MS)
+    deaths = [e for m in net.members.values() for e in m.events if e.get("state") == swim.DEAD]
+    assert deaths == []
+
+
+def test_a_suspicion_shrinks_with_confirmations():
+    m = swim.Member("a", "x")
+    for i in range(15):
+        m.table[f"b{i}"] = swim.Node(f"b{i}", f"y{i}", 0, swim.ALIVE, 0)
+    times = [m.suspicion_us(c) for c in range(4)]
+    assert times == sorted(times, reverse=True) and times[0] > times[-1]
+    assert times[-1] == m.suspicion_us(10)  # no lower than the least
+
+
+rows = st.tuples(st.integers(0, 5), st.sampled_from([swim.ALIVE, swim.SUSPECT, swim.DEAD, swim.LEFT]))
+
+
+@given(st.lists(rows, max_size=30))
+def test_no_rumour_of_an_older_incarnation_changes_a_row(updates):
+    """The row after any order of updates: its incarnation only grows, and an equal one only ranks up."""
+    m = swim.Member("a", "x")
+    before = None
+    for incarnation, state in updates:
+        m.apply(["b", "y", incarnation, state, "c"], 0)
+        node = m.table.get("b")
+        if node is None:
+            continue
+        if before is not None:
+            assert (node.incarnation, swim.RANK[node.state]) >= before
+        before = (node.incarnation, swim.RANK[node.state])
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from([swim.SUSPECT, swim.DEAD])), max_size=20))
+def test_a_member_refutes_every_rumour_of_its_own_end(rumours):
+    m = swim.Member("a", "x")
+    for incarnation, state in rumours:
+        m.apply(["a", "x", incarnation, state, "b"], 0)
+        assert m.incarnation > incarnation and m.table["a"].state == swim.ALIVE
