--- a/pinspread/cluster/__init__.py
+++ b/pinspread/cluster/__init__.py
@@ -1,1 +1,4 @@
-"""The running fleet: membership among couriers, and what stands on it. Never imported by serving unless a file turns it on."""
+"""The running fleet: membership among couriers, and what stands on it.
+
+Serving imports it only when an application's file turns it on.
+"""
--- a/pinspread/cluster/swim.py
+++ b/pinspread/cluster/swim.py
@@ -1,8 +1,8 @@
 """SWIM membership with the Lifeguard refinements: the decisions alone, with no I/O and no clock.
 
-A `Member` is told of time (`tick(now_us)`) and of messages (`heard(message, now_us)`), and gives what to send as
-`(address, message)` pairs; `events` gathers changes of the table for the log. Messages are dicts of short keys that
-`pinspread.cluster.wire` packs. Times are whole monotonic microseconds.
+A `Member` is told of time (`tick(now_us)`) and of messages (`heard(message, now_us)`), and gives what to
+send as `(address, message)` pairs; `events` gathers changes of the table for the log. Messages are dicts of
+short keys that `pinspread.cluster.wire` packs. Times are whole monotonic microseconds.
 
 Sources: Das, Gupta, Motivala, "SWIM" (2002); Dadgar, Phillips, Currey, "Lifeguard" (2017).
 """
@@ -80,8 +80,8 @@
 class Member:
     """One member's view of the fleet."""
 
-    def __init__(self, id_, address, seeds=(), tuning=Tuning(), rng=None, now_us=0, incarnation=0):
-        self.id, self.address, self.tuning = id_, address, tuning
+    def __init__(self, id_, address, seeds=(), tuning=None, rng=None, now_us=0, incarnation=0):
+        self.id, self.address, self.tuning = id_, address, tuning or Tuning()
         self.seeds = [s for s in seeds if s != address]
         self.rng = rng or random.Random()
         self.incarnation = incarnation
@@ -221,7 +221,7 @@
             self._set(node, SUSPECT, node.incarnation, now_us, self.id)
 
     def _sync(self, now_us):
-        """The whole table to one member; to seeds while we know nobody, and now and then to one that is dead."""
+        """The whole table to one member; to seeds while we know nobody; now and then to one that is dead."""
         living = self.others(ALIVE, SUSPECT)
         dead = self.others(DEAD)
         known = {n.address for n in living}
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -1,4 +1,4 @@
-"""SWIM's decisions, on a network in memory: deaths found, pauses borne, rumours that do not raise the dead."""
+"""SWIM's decisions on a network in memory: deaths found, pauses borne, rumours that do not raise the dead."""
 
 import random
 
@@ -13,7 +13,7 @@
 class Net:
     """Members that hear each other after `delay_us`, with a share lost and some members stopped."""
 
-    def __init__(self, n, loss=0.0, seed=1, tuning=swim.Tuning()):
+    def __init__(self, n, loss=0.0, seed=1, tuning=None):
         self.rng = random.Random(seed)
         self.loss, self.now, self.flying = loss, 0, []
         self.members = {}
