Run SWIM membership in the courier when its file has a [members] table

Seen and not yet explained: while one member was stopped, one of the two others suspected the other three times (each refuted). Tests: 14 wire rows, 5 config rows.

--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -146,8 +146,14 @@
         file = application.load(path)
         return application.told(file), records(file), file.notices.address if file.notices else ""
 
+    companions = []
+    if file.members:  # Danger: serving loads membership only where a file turns it on
+        from pinspread.cluster.member import Membership
+
+        companions.append(Membership(file.members.plan()))
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    anyio.run(platform.serve, application.told(file), amqp, again, discover, file.brokers.login())
+    told = application.told(file)
+    anyio.run(platform.serve, told, amqp, again, discover, file.brokers.login(), companions)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/pinspread/cluster/member.py
@@ -0,0 +1,99 @@
+"""Membership on a UDP socket: the clock, the datagrams and the log around `swim.Member`.
+
+One turn: read the monotonic clock once (plus the configured offset), take what came, do what is due,
+send. Every change of the table is a log line `member` with the seer's monotonic microseconds (`mono_us`),
+so that lines of several processes on one machine can be put in one order.
+"""
+
+import random
+import time
+from dataclasses import dataclass
+
+import anyio
+
+from pinspread.cluster import swim, wire
+from pinspread.core.log import log
+from pinspread.net.sockets import split_address
+
+MOST_WAIT_S = 0.05  # a turn at least this often, whatever is due
+LEAVE_S = 0.2  # what a leave may take of the 3.7 s of SIGTERM
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What the file's `[members]` says: `listen` is bound, `advertise` is where others reach us."""
+
+    id: str
+    listen: str
+    advertise: str
+    seeds: tuple
+    fleet: bytes
+    tuning: swim.Tuning
+    clock_offset_us: int = 0
+
+
+class Membership:
+    """A member of the fleet while the courier runs; `view()` for the door."""
+
+    name = "members"
+
+    def __init__(self, plan: Plan, seed: int | None = None):
+        self.plan = plan
+        self.member = swim.Member(
+            plan.id, plan.advertise, plan.seeds, plan.tuning, random.Random(seed), self.now(), 0
+        )
+        self.sock = None
+        self.dropped = 0
+
+    def now(self) -> int:
+        """Monotonic microseconds as this member sees them, offset as configured."""
+        return time.monotonic_ns() // 1000 + self.plan.clock_offset_us
+
+    def view(self) -> dict:
+        """The table and this member's health."""
+        m = self.member
+        return {"id": m.id, "incarnation": m.incarnation, "health": m.health, "members": m.view()}
+
+    async def open(self):
+        """Bind the socket; OSError if the address cannot be had."""
+        host, port = split_address(self.plan.listen)
+        self.sock = await anyio.create_udp_socket(local_host=host, local_port=port)
+        log("members_up", id=self.plan.id, listen=self.plan.listen, advertise=self.plan.advertise)
+
+    async def run(self):
+        """Take part until cancelled; `open` first."""
+        async with self.sock:
+            while True:
+                now = self.now()
+                await self._send(self.member.tick(now), now)
+                wait_s = min(MOST_WAIT_S, max(0, self.member.due_us() - now) / 1e6)
+                with anyio.move_on_after(wait_s):
+                    data, (source, _) = await self.sock.receive()
+                    now = self.now()
+                    try:
+                        message = wire.unpack(data, self.plan.fleet)
+                    except wire.Dropped as why:
+                        self.dropped += 1
+                        log("member_dropped", source=source, why=str(why), mono_us=now)
+                        continue
+                    await self._send(self.member.heard(message, now), now)
+
+    async def leave(self):
+        """Say that we leave, as SIGTERM asks."""
+        if self.sock is None:
+            return
+        now = self.now()
+        with anyio.move_on_after(LEAVE_S):
+            await self._send(self.member.leave(), now)
+        log("members_left", id=self.plan.id, mono_us=now)
+
+    async def _send(self, out, now):
+        for address, message in out:
+            host, port = split_address(address)
+            try:
+                await self.sock.sendto(wire.pack(message, self.plan.fleet), host, port)
+            except OSError as error:
+                log("member_unsent", to=address, error=str(error), mono_us=now)
+        for event in self.member.events:
+            log(event.pop("event"), seer=self.plan.id, mono_us=now, **event)
+        self.member.events.clear()
--- a/pinspread/config/application.py
+++ b/pinspread/config/application.py
@@ -89,6 +89,51 @@
             raise settings.SettingsError(f"brokers.password_file: {error}") from None
 
 
+class Members(Part):
+    """Membership among couriers (SWIM); off unless the file has this table."""
+
+    id: Name
+    listen: Address
+    advertise: Address = ""  # where the others reach this one; the listen address if empty
+    seeds: list[Address] = []
+    fleet: Name  # couriers of another fleet are not heard
+    period_s: Annotated[float, Field(ge=0.05, le=60)] = 1.0
+    timeout_s: Annotated[float, Field(ge=0.01, le=30)] = 0.4
+    indirect: Annotated[int, Field(ge=0, le=16)] = 3
+    suspicion_alpha: Annotated[float, Field(ge=1, le=100)] = 4.0
+    suspicion_beta: Annotated[float, Field(ge=1, le=100)] = 6.0
+    gossip_lambda: Annotated[float, Field(ge=1, le=100)] = 4.0
+    sync_s: Annotated[float, Field(ge=0.1, le=3600)] = 5.0
+    forget_s: Annotated[float, Field(ge=1, le=86_400)] = 120.0
+    clock_offset_ms: Annotated[int, Field(ge=-3_600_000, le=3_600_000)] = 0  # for the fault stage
+
+    def plan(self):
+        """What `pinspread.cluster.member` runs by."""
+        from pinspread.cluster import member, swim
+
+        us = 1_000_000
+        tuning = swim.Tuning(
+            period_us=int(self.period_s * us),
+            timeout_us=int(self.timeout_s * us),
+            k=self.indirect,
+            alpha=self.suspicion_alpha,
+            beta=self.suspicion_beta,
+            lam=self.gossip_lambda,
+            sync_us=int(self.sync_s * us),
+            forget_us=int(self.forget_s * us),
+        )
+        advertise = self.advertise or self.listen
+        return member.Plan(
+            self.id,
+            self.listen,
+            advertise,
+            tuple(self.seeds),
+            self.fleet.encode(),
+            tuning,
+            self.clock_offset_ms * 1000,
+        )
+
+
 class Notices(Part):
     address: Address
 
@@ -120,6 +165,7 @@
     limits: Limits = Limits()
     brokers: Brokers = Brokers()
     notices: Notices | None = None
+    members: Members | None = None
     kinds: Annotated[list[Name], Field(min_length=1)] = ["partner"]
     classes: Annotated[list[Class], Field(alias="class", min_length=1)]
     tenants: Annotated[list[Tenant], Field(alias="tenant", min_length=1)]
@@ -158,6 +204,12 @@
             yield f"listen.{name}", f"{('resp', 'amqp')[used.index(used[n])]} has the same address"
     if listen.get("resp") and "notices" not in raw:
         yield "listen.resp", "needs notices.address: its clients hear of ends by notices"
+    members = table("members")
+    period, timeout = members.get("period_s", 1.0), members.get("timeout_s", 0.4)
+    if isinstance(period, int | float) and isinstance(timeout, int | float) and timeout >= period:
+        yield "members.timeout_s", "must be under period_s: an indirect probe needs the rest of the period"
+    if members.get("id") and members.get("listen") in used:
+        yield "members.listen", "is the address of a front or the door"
     if bool(discovery.get("zone_file")) == bool(discovery.get("server")):
         yield "discovery", "give either zone_file or server"
     for n, one in enumerate(tables("class")):
--- a/pinspread/core/ports.py
+++ b/pinspread/core/ports.py
@@ -88,3 +88,21 @@
 
     async def ban(self, id_: str, out: bool) -> bool:
         """Pass on what an operator asks here; false if the id is unknown there."""
+
+
+class Companion(Protocol):
+    """A part beside serving that a file turns on, as membership; the door shows `view()`."""
+
+    name: str
+
+    async def open(self) -> None:
+        """Take what it needs before serving begins; OSError if it cannot."""
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+
+    async def leave(self) -> None:
+        """SIGTERM came: say goodbye, briefly."""
+
+    def view(self) -> dict:
+        """What the door shows of it."""
--- a/pinspread/net/admin.py
+++ b/pinspread/net/admin.py
@@ -4,6 +4,7 @@
 
 import anyio
 import h11
+import orjson
 
 from pinspread.core.courier import Busy
 from pinspread.core.journal import JournalFull
@@ -22,8 +23,9 @@
 class Door:
     """The listener and its callers."""
 
-    def __init__(self, operable: Operable, sockets=1024):
+    def __init__(self, operable: Operable, sockets=1024, companions=()):
         self.operable = operable
+        self.companions = {f"/-/{c.name}": c for c in companions}
         self.most = max(LEAST_CALLS, min(MOST_CALLS, sockets // 24))
         self.callers = {}  # connections, oldest first
 
@@ -104,6 +106,10 @@
             if method != "GET":
                 return 405, f"{READY} takes GET"
             return (200, "ready") if self.operable.ready() else (503, "not ready: ask again soon")
+        if path in self.companions:
+            if method != "GET":
+                return 405, f"{path} takes GET"
+            return 200, orjson.dumps(self.companions[path].view()).decode()
         name, _, word = path.removeprefix(ENDPOINTS).rpartition("/")
         if not path.startswith(ENDPOINTS) or not name or "/" in name or word not in ("disable", "enable"):
             return 404, f"unknown path: try {READY}, or {ENDPOINTS}ID/disable and {ENDPOINTS}ID/enable"
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -27,19 +27,22 @@
 FINISH_S = 3.2  # and after that, for what it has out
 
 
-async def serve(told: settings.Told, amqp: settings.AmqpFile, reread, discover=None, login=GUEST):
+async def serve(
+    told: settings.Told, amqp: settings.AmqpFile, reread, discover=None, login=GUEST, companions=()
+):
     """Serve until SIGTERM or SIGINT; on SIGHUP, `reread(told)` tells what counts from now on.
 
-    `discover(courier)` makes another discovery than the platform's.
+    `discover(courier)` makes another discovery than the platform's; `companions` run beside serving.
     """
-    await Service(told, amqp, reread, discover, login).run()
+    await Service(told, amqp, reread, discover, login, companions).run()
 
 
 class Service:
     """One process: its parts, and how they begin, rest and end."""
 
-    def __init__(self, told, amqp, reread, discover, login):
+    def __init__(self, told, amqp, reread, discover, login, companions=()):
         self.told, self.amqp, self.login = told, amqp, login
+        self.companions = list(companions)
         self.clock = clock = Clock()
         use(clock)
         self.owner = Owner(told.state)
@@ -70,7 +73,7 @@
         with anyio.open_signal_receiver(*wanted) as signals:
             async with anyio.create_task_group() as self.tasks:
                 for sock in doors:
-                    self.tasks.start_soon(door(self.courier, self.told.sockets).run, sock)
+                    self.tasks.start_soon(door(self.courier, self.told.sockets, self.companions).run, sock)
                 try:
                     await self._begin()
                 except (JournalFull, JournalUnreadable, OSError) as error:
@@ -78,6 +81,8 @@
                 else:
                     self.tasks.start_soon(self._follow_signals, signals)
                     await self.leaving.wait()
+                    for companion in self.companions:
+                        await companion.leave()
                     await self._end()
                 self.tasks.cancel_scope.cancel()
         if failed:
@@ -86,6 +91,9 @@
 
     async def _begin(self):
         told, courier, tasks = self.told, self.courier, self.tasks
+        for companion in self.companions:
+            await companion.open()
+            tasks.start_soon(companion.run)
         courier.transports["amqp"] = BrokerTransport(self.clock, tasks, told.dial_us, self.login)
         before = await self._take_over()
         legs, sockets_ = (before.legs, before.sockets) if before else ((), {})
@@ -249,11 +257,11 @@
         return None
 
 
-def door(courier, most):
+def door(courier, most, companions=()):
     """The operators' door; it is loaded only where it is on."""
     from pinspread.net.admin import Door
 
-    return Door(courier, most)
+    return Door(courier, most, companions)
 
 
 def change(courier, reread, pool, room, discovery, notices):
--- /dev/null
+++ b/tests/test_cluster_wire.py
@@ -0,0 +1,53 @@
+"""Membership's datagrams: what is not whole, not ours or not well-formed is dropped with a reason."""
+
+import pytest
+
+from pinspread.cluster import wire
+
+KEY = b"fleet-a"
+PING = {"t": "ping", "from": "a", "from_at": "127.0.0.1:1", "inc": 0, "up": [], "seq": 1, "to": "b"}
+
+
+def damaged(change):
+    data = bytearray(wire.pack(PING, KEY))
+    change(data)
+    return bytes(data)
+
+
+@pytest.mark.parametrize(
+    ("data", "key", "why"),
+    [
+        (b"", KEY, "shorter"),
+        (b"PSX" + wire.pack(PING, KEY)[3:], KEY, "not a membership"),
+        (damaged(lambda d: d.__setitem__(3, 9)), KEY, "version 9"),
+        (wire.pack(PING, KEY)[:-1], KEY, "length"),
+        (damaged(lambda d: d.__setitem__(-1, d[-1] ^ 1)), KEY, "checksum"),
+        (wire.pack(PING, KEY), b"fleet-b", "checksum"),
+        (wire.pack([1, 2], KEY), KEY, "not a map"),
+        (wire.pack(PING | {"t": "boom"}, KEY), KEY, "kind"),
+        (wire.pack(PING | {"seq": "1"}, KEY), KEY, "'seq'"),
+        (wire.pack(PING | {"inc": True}, KEY), KEY, "'inc'"),
+        (wire.pack(PING | {"inc": -1}, KEY), KEY, "update"),
+        (wire.pack(PING | {"up": [["b", "x", 0, "zombie", "a"]]}, KEY), KEY, "update"),
+        (wire.pack(PING | {"t": "sync", "reply": True, "table": [["b"]]}, KEY), KEY, "row of the table"),
+        (wire.pack(PING | {"t": "ask"}, KEY), KEY, "'to_at'"),
+    ],
+)
+def test_a_datagram_that_is_not_taken_says_why(data, key, why):
+    with pytest.raises(wire.Dropped, match=why):
+        wire.unpack(data, key)
+
+
+def test_a_whole_datagram_comes_back_as_it_went():
+    assert wire.unpack(wire.pack(PING, KEY), KEY) == PING
+
+
+def test_garbage_of_every_length_is_dropped_and_nothing_else_is_raised():
+    import random
+
+    rng = random.Random(5)
+    good = wire.pack(PING, KEY)
+    for n in range(2000):
+        data = bytearray(good[: rng.randrange(len(good))]) if n % 2 else bytearray(rng.randbytes(n % 90))
+        with pytest.raises(wire.Dropped):
+            wire.unpack(bytes(data), KEY)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -15,6 +15,8 @@
 from pinspread.interface import ListState
 
 GOOD = application.template("booking")
+MEMBERS = '[members]\nid = "c1"\nlisten = "127.0.0.1:7946"\nfleet = "f"\n'
+
 ZONE = """$TTL 60
 @ SOA ns hostmaster 1 60 60 60 60
 @ NS ns
@@ -68,6 +70,11 @@
         ('amqp = "127.0.0.1:5672"', 'amqp = "127.0.0.1:6379"', ["listen.amqp"]),
         ('admin = "127.0.0.1:9600"', 'admin = "127.0.0.1:5672"', ["listen.admin"]),
         ("couriers = 1", "couriers =", ["line"]),
+        ("[brokers]", MEMBERS + "timeout_s = 2\n[brokers]", ["members.timeout_s"]),
+        ("[brokers]", MEMBERS.replace(":7946", ":9600") + "[brokers]", ["members.listen"]),
+        ("[brokers]", MEMBERS.replace('fleet = "f"', "") + "[brokers]", ["members.fleet"]),
+        ("[brokers]", MEMBERS + "period_s = 100\n[brokers]", ["members.period_s"]),
+        ("[brokers]", MEMBERS + 'seeds = ["x"]\n[brokers]', ["members.seeds[0]"]),
     ],
 )
 def test_config_check_names_every_problem_with_its_place(tmp_path, capsys, old, new, places):
