Add the fault stage: couriers on loopback, a proxy of faults, one history and a judge

Seeds are asked every period while a member knows nobody (was every 5 s: members joined 5 s late on the first run).

--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -24,6 +24,7 @@
         "fleet", help="the model of the fleet: experiments, comparisons, traces", add_help=False
     )
     commands.add_parser("demo", help="a courier and three stand-in partners, for 20 s", add_help=False)
+    commands.add_parser("stage", help="couriers with membership and faults between them", add_help=False)
     config = commands.add_parser("config", help="write, check and show an application's file")
     actions = config.add_subparsers(dest="action", required=True)
     write = actions.add_parser("write", help="make a new application's file")
@@ -44,7 +45,7 @@
 def main(arguments=None):
     """Run a sub-command; its exit code."""
     arguments = sys.argv[1:] if arguments is None else arguments
-    if arguments[:1] in (["fleet"], ["demo"]):
+    if arguments[:1] in (["fleet"], ["demo"], ["stage"]):
         return tool(arguments)
     chosen = parser().parse_args(arguments)
     try:
@@ -75,7 +76,7 @@
     except ModuleNotFoundError as error:
         print(f"pinspread: {arguments[0]} needs the extra 'fleet': {error.name} is missing", file=sys.stderr)
         return 2
-    program = cli.app if arguments[0] == "fleet" else cli.demo
+    program = {"fleet": cli.app, "demo": cli.demo, "stage": cli.stage}[arguments[0]]
     try:
         program(arguments[1:], prog_name=f"pinspread {arguments[0]}")
     except SystemExit as end:  # of the library: its words are said already
--- a/pinspread/cluster/swim.py
+++ b/pinspread/cluster/swim.py
@@ -171,7 +171,8 @@
             self.next_probe_us = now_us + self.scaled(self.tuning.period_us)
             out += self._probe(now_us)
         if now_us >= self.next_sync_us:
-            self.next_sync_us = now_us + self.tuning.sync_us
+            alone = not self.others(ALIVE, SUSPECT)
+            self.next_sync_us = now_us + (self.tuning.period_us if alone else self.tuning.sync_us)
             out += self._sync(now_us)
         self._forget(now_us)
         self.counts["sent"] += len(out)
--- a/pinspread/fleet/cli.py
+++ b/pinspread/fleet/cli.py
@@ -252,3 +252,39 @@
     )
     yield f"payments run twice: {found['payments_twice']}; messages without an end: {found['lost']}"
     yield f"service {found['service_unbroken']:.3f} of 1; worst 10 s {found['parts']['worst_10s']:.3f}"
+
+
+stage = typer.Typer(help="The fault stage: couriers with membership on loopback, faults between them.",
+                    no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False, rich_markup_mode=None)  # fmt: skip
+
+
+@stage.command("run")
+def stage_run(file: File, out: Out = Path("found/stage")):
+    """Play a scene; its history and verdicts go to OUT; exit code 1 if an expectation failed."""
+    from pinspread.fleet.loopback import cast
+
+    try:
+        scene = cast.load(str(file))
+        print(f"playing {file}: {scene['members']} members for {scene['seconds']} s ...", flush=True)
+        found = cast.play(scene, out)
+    except (cast.SceneError, ValueError) as error:
+        fail(error)
+    for verdict in found:
+        shown = {k: v for k, v in verdict.items() if k not in ("ok", "kind", "faults", "each_s")}
+        print("ok  " if verdict["ok"] else "FAIL", verdict["kind"], orjson.dumps(shown).decode()[:300])
+    (out / "verdicts.json").write_bytes(orjson.dumps(found, option=orjson.OPT_INDENT_2))
+    print(f"history: {out / 'history.jsonl'}")
+    if not all(v["ok"] for v in found):
+        raise typer.Exit(1)
+
+
+@stage.command("check")
+def stage_check(file: File):
+    """Name a scene's problem, or say that it can be played."""
+    from pinspread.fleet.loopback import cast
+
+    try:
+        scene = cast.load(str(file))
+    except cast.SceneError as error:
+        fail(error)
+    print(f"{file}: no problems; {scene['members']} members, {len(scene.get('at', []))} faults")
--- /dev/null
+++ b/pinspread/fleet/loopback/cast.py
@@ -0,0 +1,293 @@
+"""The fault stage: N real couriers with membership on loopback, the proxy between them, a timeline of faults.
+
+A scene is a TOML file:
+
+    members = 5                 # m0 .. m4
+    seconds = 20
+    seed = 1
+    [tuning]                    # goes into every courier's [members] table
+    period_s = 0.2
+    [[at]]                      # a fault at a time: do = pause resume kill term wipe start loss delay
+    s = 4                       #   duplicate cut split heal offset garbage stranger
+    do = "pause"
+    who = ["m3"]
+    [[expect]]                  # see judge.py
+    kind = "never_dead"
+
+`play(scene, folder)` runs it and gives the verdicts; every line goes to `folder/history.jsonl`. The stage ends
+only the processes that it started, by their ids, and every wait has a bound.
+"""
+
+import asyncio
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import threading
+import time
+import tomllib
+from itertools import count
+from pathlib import Path
+
+import orjson
+
+from pinspread.cluster import wire
+from pinspread.config import application
+from pinspread.fleet.loopback import judge
+from pinspread.fleet.loopback.faults import Proxy, Rules
+
+PORT = 7946
+READY_S = 30.0  # for all members to serve
+END_S = 4.0  # for a SIGTERM to end a member, after which SIGKILL
+_blocks = count(os.getpid() % 200 * 8)
+SIGNALS = {"pause": signal.SIGSTOP, "resume": signal.SIGCONT, "kill": signal.SIGKILL, "term": signal.SIGTERM}
+
+
+class SceneError(Exception):
+    """A scene that cannot be played; the text says why."""
+
+
+def now_us():
+    return time.monotonic_ns() // 1000
+
+
+class History:
+    """Lines from every process and from the stage, in one file."""
+
+    def __init__(self, path):
+        self.file = open(path, "wb")  # noqa: SIM115  closed by the stage
+        self.lines = []
+        self.lock = threading.Lock()
+
+    def add(self, who, event, **fields):
+        self.note({"mono_us": now_us(), "who": who, "event": event, **fields})
+
+    def note(self, line):
+        with self.lock:
+            self.lines.append(line)
+            self.file.write(orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE))
+
+    def close(self):
+        self.file.close()
+
+
+class Courier:
+    """One member's process, over its restarts."""
+
+    def __init__(self, stage, number):
+        self.stage, self.number, self.id = stage, number, f"m{number}"
+        self.real = (f"{stage.prefix}.{10 + number}", PORT)
+        self.front = (f"{stage.prefix}.{100 + number}", PORT)
+        self.folder = stage.folder / self.id
+        self.offset_ms = 0
+        self.process = None
+        self.reader = None
+        self.serving = threading.Event()
+
+    def config(self):
+        s = self.stage
+        text = application.template(self.id)
+        for port, old in ((6379, "127.0.0.1:6379"), (5672, "127.0.0.1:5672"), (9600, "127.0.0.1:9600")):
+            text = text.replace(old, f"{self.real[0]}:{port}")
+        text = text.replace('folder = "state"', f'folder = "{self.folder / "state"}"')
+        text = text.replace('zone_file = "partners.zone"', f'zone_file = "{s.folder / "partners.zone"}"')
+        seeds = [f"{s.cast[0].front[0]}:{PORT}"] if self.number else []
+        tuning = "".join(f"{k} = {orjson.dumps(v).decode()}\n" for k, v in s.tuning.items())
+        text += (
+            f'\n[members]\nid = "{self.id}"\nlisten = "{self.real[0]}:{PORT}"\n'
+            f'advertise = "{self.front[0]}:{PORT}"\nseeds = {orjson.dumps(seeds).decode()}\n'
+            f'fleet = "{s.fleet}"\nclock_offset_ms = {self.offset_ms}\n{tuning}'
+        )
+        return text
+
+    def start(self):
+        self.folder.mkdir(parents=True, exist_ok=True)
+        path = self.folder / "courier.toml"
+        path.write_text(self.config())
+        self.serving.clear()
+        root = Path(__file__).parents[3]
+        command = [sys.executable, "-m", "pinspread", "serve", "--app", str(path)]
+        self.process = subprocess.Popen(
+            command, cwd=root, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL
+        )
+        self.stage.history.add(self.id, "started", pid=self.process.pid, offset_ms=self.offset_ms)
+        self.reader = threading.Thread(target=self._read, args=(self.process,), daemon=True)
+        self.reader.start()
+
+    def _read(self, process):
+        history = self.stage.history
+        for raw in process.stdout:
+            try:
+                line = orjson.loads(raw)
+            except orjson.JSONDecodeError:
+                line = {"event": "text", "text": raw.decode("utf-8", "replace").rstrip()[:500]}
+            if not isinstance(line, dict):
+                continue
+            if line.get("event") == "serving":
+                self.serving.set()
+            if line.get("event") == "fault" or "Traceback" in line.get("text", ""):
+                line["event"] = "fault"
+            line.setdefault("mono_us", now_us())
+            history.note(line | {"who": self.id})
+        code = process.wait()
+        history.add(self.id, "exited", code=code)
+
+    def signal(self, what):
+        process = self.process
+        if process is not None and process.poll() is None:
+            process.send_signal(SIGNALS[what])
+            self.stage.history.add(self.id, "signalled", do=what)
+
+    def end(self):
+        """SIGCONT, SIGTERM, and SIGKILL after END_S; this process alone, by its id."""
+        process = self.process
+        if process is None or process.poll() is not None:
+            return
+        process.send_signal(signal.SIGCONT)
+        process.send_signal(signal.SIGTERM)
+        try:
+            process.wait(END_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+class Stage:
+    """A scene on loopback."""
+
+    def __init__(self, scene, folder):
+        self.scene, self.folder = scene, Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        block = next(_blocks)
+        self.prefix = f"127.{20 + block // 250 % 200}.{block % 250}"
+        self.fleet = scene.get("fleet", "stage")
+        self.tuning = scene.get("tuning", {})
+        self.cast = [Courier(self, n) for n in range(scene["members"])]
+        self.by_id = {c.id: c for c in self.cast}
+        self.history = History(self.folder / "history.jsonl")
+        self.rules = Rules([c.id for c in self.cast])
+        real = {c.id: c.real for c in self.cast}
+        self.proxy = Proxy(self.rules, real, {c.id: c.front for c in self.cast}, scene.get("seed", 0))
+        (self.folder / "partners.zone").write_text("$TTL 60\n")
+
+    def who(self, event):
+        names = event.get("who") or list(self.by_id)
+        return [self.by_id[n] for n in names]
+
+    async def act(self, event):
+        do = event["do"]
+        self.history.add("stage", "at", fault=event)
+        if do in SIGNALS:
+            for c in self.who(event):
+                c.signal(do)
+        elif do == "wipe":
+            for c in self.who(event):
+                c.signal("kill")
+                if c.process:
+                    c.process.wait()
+                shutil.rmtree(c.folder / "state", ignore_errors=True)
+                self.history.add(c.id, "signalled", do="wipe")
+        elif do == "start":
+            for c in self.who(event):
+                if c.process is None or c.process.poll() is not None:
+                    c.start()
+        elif do == "offset":
+            for c in self.who(event):
+                c.offset_ms = event["ms"]
+        elif do in ("loss", "delay", "duplicate", "cut"):
+            what = {
+                "loss": {"loss": event.get("share", 0.0)},
+                "delay": {"delay_s": event.get("delay_s", 0.0), "jitter_s": event.get("jitter_s", 0.0)},
+                "duplicate": {"duplicate": event.get("share", 0.0)},
+                "cut": {"cut": True},
+            }[do]
+            self.rules.change(event.get("from", ()), event.get("to", ()), **what)
+        elif do == "split":
+            self.rules.split(event["groups"])
+        elif do == "heal":
+            self.rules.heal()
+        elif do in ("garbage", "stranger"):
+            await self._strange(event)
+        else:
+            raise SceneError(f"unknown fault {do!r}")
+
+    async def _strange(self, event):
+        """Datagrams from no member: random bytes, or well-formed ones of another fleet."""
+        import random
+
+        rng = random.Random(event.get("seed", 7))
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            asyncio.DatagramProtocol, (f"{self.prefix}.250", 0)
+        )
+        try:
+            for c in self.who(event):
+                for n in range(event.get("count", 20)):
+                    if event["do"] == "garbage":
+                        data = rng.randbytes(rng.randrange(1, 200))
+                    else:
+                        ping = {"t": "ping", "from": "x", "from_at": f"{self.prefix}.250:1", "inc": 0}
+                        data = wire.pack(ping | {"up": [], "seq": n, "to": c.id}, b"another")
+                    transport.sendto(data, c.real)
+        finally:
+            transport.close()
+
+    async def run(self):
+        """The scene to its end; the verdicts."""
+        timeline = sorted(self.scene.get("at", []), key=lambda e: e["s"])
+        await self.proxy.open()
+        try:
+            self.history.add("stage", "stage_began", members=len(self.cast), prefix=self.prefix)
+            for c in self.cast:
+                c.start()
+            began = time.monotonic()
+            while not all(c.serving.is_set() for c in self.cast):
+                if time.monotonic() - began > READY_S:
+                    raise SceneError("members did not all serve in time")
+                await asyncio.sleep(0.05)
+            began = time.monotonic()
+            self.history.add("stage", "serving")
+            for event in timeline:
+                await asyncio.sleep(max(0, began + event["s"] - time.monotonic()))
+                await self.act(event)
+            await asyncio.sleep(max(0, began + self.scene["seconds"] - time.monotonic()))
+        finally:
+            self.history.add("stage", "ending", proxy=self.proxy.counts)
+            await asyncio.to_thread(self._end_all)
+            self.proxy.close()
+            self.history.close()
+        lines = judge.read(self.folder / "history.jsonl")
+        began_us = next(
+            li["mono_us"] for li in lines if li.get("event") == "serving" and li["who"] == "stage"
+        )
+        for line in lines:
+            if line.get("event") == "stage_began":
+                line["mono_us"] = began_us  # times of a scene count from when all serve
+        return judge.judge(sorted(lines, key=lambda li: li["mono_us"]), self.scene.get("expect", []))
+
+    def _end_all(self):
+        for c in self.cast:
+            c.end()
+        for c in self.cast:
+            if c.reader:
+                c.reader.join(5)
+
+
+def load(path):
+    """A scene from its file; SceneError if it cannot be read."""
+    try:
+        with open(path, "rb") as file:
+            scene = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise SceneError(f"{path}: {error}") from None
+    if not isinstance(scene.get("members"), int) or not 1 <= scene["members"] <= 60:
+        raise SceneError(f"{path}: members: from 1 to 60")
+    if not isinstance(scene.get("seconds"), int | float) or not 0 < scene["seconds"] <= 3600:
+        raise SceneError(f"{path}: seconds: above 0, at most 3600")
+    return scene
+
+
+def play(scene, folder):
+    """Run a scene (a dict as `load` gives) with its history in `folder`; the verdicts."""
+    return asyncio.run(Stage(scene, folder).run())
