Prove on the stage: long pauses, partitions and their heal, wiped folders, joins at once

Change: three scenes in tests/test_stage.py: a 6 s pause under 30% duplicates and 30 ms jitter (dead, refuted, back with a higher incarnation, one table in 5 s); a split into 2 groups and one into 3, each healed; 5 joins at once to 5 members and a member killed with its folder removed, started again with the same id. The judge's one_table takes until_s; a scene may hold members back (late); every member has the first two as seeds; most_health in [members] (Lifeguard's health; 0 is off).

--- a/pinspread/config/application.py
+++ b/pinspread/config/application.py
@@ -105,6 +105,7 @@
     gossip_lambda: Annotated[float, Field(ge=1, le=100)] = 4.0
     sync_s: Annotated[float, Field(ge=0.1, le=3600)] = 5.0
     forget_s: Annotated[float, Field(ge=1, le=86_400)] = 120.0
+    most_health: Annotated[int, Field(ge=0, le=8)] = 8  # Lifeguard: 0 turns local health off
     clock_offset_ms: Annotated[int, Field(ge=-3_600_000, le=3_600_000)] = 0  # for the fault stage
 
     def plan(self):
@@ -121,6 +122,7 @@
             lam=self.gossip_lambda,
             sync_us=int(self.sync_s * us),
             forget_us=int(self.forget_s * us),
+            most_health=self.most_health,
         )
         advertise = self.advertise or self.listen
         return member.Plan(
--- a/pinspread/fleet/loopback/cast.py
+++ b/pinspread/fleet/loopback/cast.py
@@ -3,6 +3,7 @@
 A scene is a TOML file:
 
     members = 5                 # m0 .. m4
+    late = ["m4"]               # not started until a fault `start` says so
     seconds = 20
     seed = 1
     [tuning]                    # goes into every courier's [members] table
@@ -92,7 +93,7 @@
             text = text.replace(old, f"{self.real[0]}:{port}")
         text = text.replace('folder = "state"', f'folder = "{self.folder / "state"}"')
         text = text.replace('zone_file = "partners.zone"', f'zone_file = "{s.folder / "partners.zone"}"')
-        seeds = [f"{s.cast[0].front[0]}:{PORT}"] if self.number else []
+        seeds = [f"{c.front[0]}:{PORT}" for c in s.cast[:2] if c is not self]
         tuning = "".join(f"{k} = {orjson.dumps(v).decode()}\n" for k, v in s.tuning.items())
         text += (
             f'\n[members]\nid = "{self.id}"\nlisten = "{self.real[0]}:{PORT}"\n'
@@ -239,10 +240,12 @@
         await self.proxy.open()
         try:
             self.history.add("stage", "stage_began", members=len(self.cast), prefix=self.prefix)
+            late = set(self.scene.get("late", ()))
             for c in self.cast:
-                c.start()
+                if c.id not in late:
+                    c.start()
             began = time.monotonic()
-            while not all(c.serving.is_set() for c in self.cast):
+            while not all(c.serving.is_set() for c in self.cast if c.id not in late):
                 if time.monotonic() - began > READY_S:
                     raise SceneError("members did not all serve in time")
                 await asyncio.sleep(0.05)
--- a/pinspread/fleet/loopback/judge.py
+++ b/pinspread/fleet/loopback/judge.py
@@ -6,7 +6,7 @@
 - `dead`: every member that runs at the end says `of` is dead (or left) within `within_s` of `after_s`;
 - `never_dead`: nobody says any of `of` (all members if empty) is dead from `from_s` to `to_s`;
 - `one_table`: from `after_s` on, within `within_s`, every running member sees every running one alive and none
-  that is down alive, and that holds to the end;
+  that is down alive, and that holds to the end (or to `until_s`);
 - `refuted`: `of` refuted a rumour of its end, or came back with a higher incarnation.
 
 `judge` gives a list of verdicts, each a dict with `ok`, the expectation, and what was measured.
@@ -104,6 +104,8 @@
     after = replay.at(e.get("after_s", 0))
     since = None
     end = next((li["mono_us"] for li in lines if li.get("event") == "ending"), lines[-1]["mono_us"])
+    if "until_s" in e:
+        end = min(end, replay.at(e["until_s"]))
     for when, running, views in replay.states():
         if when < after:
             continue
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -64,3 +64,67 @@
     found = judge.judge(lines, [{"kind": "never_dead"}, {"kind": "one_table", "within_s": 1}])
     assert [v["ok"] for v in found] == [False, False, True]
     assert judge.false_deaths(lines)[0] == 1
+
+
+def test_a_long_pause_is_dead_then_back_with_a_higher_incarnation_under_duplicates(tmp_path):
+    found = verdicts(
+        tmp_path,
+        [
+            {"s": 0, "do": "duplicate", "share": 0.3},
+            {"s": 0, "do": "delay", "delay_s": 0.0, "jitter_s": 0.03},  # reorders
+            {"s": 2, "do": "pause", "who": ["m3"]},
+            {"s": 8, "do": "resume", "who": ["m3"]},
+        ],
+        [
+            {"kind": "dead", "of": "m3", "after_s": 2, "within_s": 6},
+            {"kind": "never_dead", "of": ["m0", "m1", "m2", "m4"]},
+            {"kind": "refuted", "of": "m3", "after_s": 8},
+            {"kind": "one_table", "after_s": 8, "within_s": 5},
+        ],
+        seconds=15,
+    )
+    assert all(v["ok"] for v in found.values()), found
+    lines = judge.read(tmp_path / "history.jsonl")
+    back = [li for li in lines if li.get("event") == "member" and li["id"] == "m3" and li["state"] == "alive"]
+    assert back[-1]["incarnation"] >= 1
+
+
+def test_partitions_into_two_and_three_groups_heal_into_one_table(tmp_path):
+    found = verdicts(
+        tmp_path,
+        [
+            {"s": 1, "do": "split", "groups": [["m0", "m1"], ["m2", "m3", "m4"]]},
+            {"s": 7, "do": "heal"},
+            {"s": 14, "do": "split", "groups": [["m0", "m1"], ["m2", "m3"], ["m4"]]},
+            {"s": 20, "do": "heal"},
+        ],
+        [
+            {"kind": "dead", "of": "m4", "after_s": 14, "within_s": 6},
+            {"kind": "one_table", "after_s": 7, "within_s": 6, "until_s": 14},
+            {"kind": "one_table", "after_s": 20, "within_s": 6},
+        ],
+        seconds=27,
+    )
+    assert all(v["ok"] for v in found.values()), found
+
+
+def test_a_killed_member_without_its_folder_and_five_joins_at_once(tmp_path):
+    scene_late = ["m5", "m6", "m7", "m8", "m9"]
+    scene = {
+        "members": 10,
+        "late": scene_late,
+        "seconds": 16,
+        "tuning": FAST,
+        "at": [
+            {"s": 1, "do": "start", "who": scene_late},
+            {"s": 5, "do": "wipe", "who": ["m0"]},
+            {"s": 10, "do": "start", "who": ["m0"]},
+        ],
+        "expect": [
+            {"kind": "one_table", "after_s": 1, "within_s": 4, "until_s": 5},
+            {"kind": "dead", "of": "m0", "after_s": 5, "within_s": 5},
+            {"kind": "one_table", "after_s": 10, "within_s": 5},
+        ],
+    }
+    found = cast.play(scene, tmp_path)
+    assert all(v["ok"] for v in found), found
