Prove that a slow member judges slower by its own health (Lifeguard) on the stage

Change: a test on the stage: 4 couriers, every datagram to m2 held 0.25 s (the period is 0.2 s), played with most_health 8 and with 0. The test asks for under a third.

--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -128,3 +128,25 @@
     }
     found = cast.play(scene, tmp_path)
     assert all(v["ok"] for v in found), found
+
+
+def accusations(tmp_path, most_health):
+    """Suspicions raised by a member whose every datagram comes 0.25 s late, beyond the period of 0.2 s."""
+    scene = {
+        "members": 4,
+        "seconds": 8,
+        "tuning": FAST | {"most_health": most_health},
+        "at": [{"s": 0, "do": "delay", "to": ["m2"], "delay_s": 0.25}],
+        "expect": [{"kind": "never_dead", "of": ["m0", "m1", "m3"]}],
+    }
+    found = cast.play(scene, tmp_path)
+    lines = judge.read(tmp_path / "history.jsonl")
+    raised = [li for li in lines if li.get("event") == "member" and li["who"] == "m2" and li["state"] == "suspect"]
+    return found, len([li for li in raised if li["by"] == "m2"])
+
+
+def test_a_slow_member_judges_slower_by_its_own_health(tmp_path):
+    found, with_health = accusations(tmp_path / "with", 8)
+    assert all(v["ok"] for v in found), found
+    _, without = accusations(tmp_path / "without", 0)
+    assert with_health * 3 < without, (with_health, without)
