Prove on the stage that 5% and then 20% loss on all links kill nobody

Change: a scene of 5 couriers: 5% loss for 6 s, 20% for 8 s, then heal; never_dead, and one table within 3 s.

--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -141,7 +141,9 @@
     }
     found = cast.play(scene, tmp_path)
     lines = judge.read(tmp_path / "history.jsonl")
-    raised = [li for li in lines if li.get("event") == "member" and li["who"] == "m2" and li["state"] == "suspect"]
+    raised = [
+        li for li in lines if li.get("event") == "member" and li["who"] == "m2" and li["state"] == "suspect"
+    ]
     return found, len([li for li in raised if li["by"] == "m2"])
 
 
@@ -150,3 +152,20 @@
     assert all(v["ok"] for v in found), found
     _, without = accusations(tmp_path / "without", 0)
     assert with_health * 3 < without, (with_health, without)
+
+
+def test_five_and_twenty_percent_loss_on_all_links_kill_nobody(tmp_path):
+    found = verdicts(
+        tmp_path,
+        [
+            {"s": 0, "do": "loss", "share": 0.05},
+            {"s": 6, "do": "loss", "share": 0.2},
+            {"s": 14, "do": "heal"},
+        ],
+        [{"kind": "never_dead"}, {"kind": "one_table", "after_s": 14, "within_s": 3}],
+        seconds=18,
+    )
+    assert all(v["ok"] for v in found.values()), found
+    lines = judge.read(tmp_path / "history.jsonl")
+    ending = next(li for li in lines if li.get("event") == "ending")
+    assert ending["proxy"]["lost"] > 100  # the faults were there
