Let a member's own failed probe of a suspect confirm the suspicion to the others

Cause: _failed in cluster/swim.py raised a suspicion only of a member still alive; a member that had heard of the suspicion and then failed its own probe said nothing, so Lifeguard's confirmations never came and every suspicion ran to its longest time-out. Change: such a failure spreads the suspect row by this member, which the others count as a confirmation. A unit test fails without the change.

--- a/pinspread/cluster/swim.py
+++ b/pinspread/cluster/swim.py
@@ -220,6 +220,8 @@
         node = self.table.get(probe.target)
         if node and node.state == ALIVE:
             self._set(node, SUSPECT, node.incarnation, now_us, self.id)
+        elif node and node.state == SUSPECT:
+            self._spread(node, self.id)  # our own failed probe: an independent confirmation for the others
 
     def _sync(self, now_us):
         """The whole table to one member; to seeds while we know nobody; now and then to one that is dead."""
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -140,3 +140,18 @@
     for incarnation, state in rumours:
         m.apply(["a", "x", incarnation, state, "b"], 0)
         assert m.incarnation > incarnation and m.table["a"].state == swim.ALIVE
+
+
+def test_a_failed_probe_of_a_suspect_confirms_the_suspicion_elsewhere():
+    a, b = swim.Member("a", "xa"), swim.Member("b", "xb")
+    for m in (a, b):
+        m.apply(["x", "xx", 0, swim.ALIVE, "x"], 0)
+        m.apply(["a" if m is b else "b", "xa" if m is b else "xb", 0, swim.ALIVE, "a"], 0)
+    a.apply(["x", "xx", 0, swim.SUSPECT, "a"], 0)  # a's own suspicion
+    b.apply(["x", "xx", 0, swim.SUSPECT, "a"], 0)  # b heard of it
+    b._failed(swim.Probe("x", 1, 0, 1, 2, asked=1, nacks=1), 10)  # then b's own probe of x failed too
+    (rows,) = [b._piggyback()]
+    for row in rows:
+        a.apply(row, 20)
+    assert a.suspicions["x"].confirmers == {"b"}
+    assert a.suspicion_us(1) < a.suspicion_us(0)
