Add the 16-courier benchmark of membership, and a stage that can be steered while it plays

Change: Stage.begin, finish, views and until (the tables as the members' lines tell them, live); run() is made of them. benchmarks/members.py plays the four measures one after another.

--- /dev/null
+++ b/benchmarks/members.py
@@ -0,0 +1,134 @@
+"""Membership on the fault stage with 16 couriers: `python benchmarks/members.py [OUT]` (about 10 minutes).
+
+Prints, one block a measure: the time from SIGKILL to every other member saying dead (20 kills, each member
+started again and one table awaited before the next); false deaths per member-hour at 5% and 20% loss on all
+links and with one member paused at random for 0.5 to 3 s; the time to one table after a split into halves heals.
+"""
+
+import asyncio
+import random
+import statistics
+import sys
+import time
+from pathlib import Path
+
+from pinspread.fleet.loopback import cast, judge
+
+N = 16
+TUNING = {"period_s": 0.5, "timeout_s": 0.2}
+SPAN_S = 120  # of each run of false deaths
+
+
+def one_table(stage):
+    def test(views):
+        running = set(views)
+        return len(running) == N and all(
+            all((view.get(m) == "alive") == (m in running) for m in (c.id for c in stage.cast) if m != s)
+            for s, view in views.items()
+        )
+
+    return test
+
+
+def dead_to_all(victim):
+    def test(views):
+        others = [v for s, v in views.items() if s != victim]
+        return all(v.get(victim) in ("dead", "left") for v in others)
+
+    return test
+
+
+async def kills(folder, count=20, seed=1):
+    rng = random.Random(seed)
+    stage = cast.Stage({"members": N, "seconds": 0, "tuning": TUNING}, folder)
+    times, rejoins = [], []
+    try:
+        await stage.begin()
+        await stage.until(one_table(stage), 30)
+        for n in range(count):
+            victim = rng.choice(stage.cast[2:])  # the seeds stay
+            await stage.act({"s": 0, "do": "kill", "who": [victim.id]})
+            took = await stage.until(dead_to_all(victim.id), 90)
+            times.append(took)
+            await stage.act({"s": 0, "do": "start", "who": [victim.id]})
+            rejoins.append(await stage.until(one_table(stage), 60))
+            print(f"  kill {n + 1}: dead to all in {took} s, one table again in {rejoins[-1]} s", flush=True)
+    finally:
+        await asyncio.to_thread(stage.finish)
+    return times, rejoins
+
+
+async def false_deaths(folder, loss=0.0, pauses=False, seed=2):
+    rng = random.Random(seed)
+    stage = cast.Stage({"members": N, "seconds": 0, "tuning": TUNING}, folder)
+    paused = 0
+    try:
+        await stage.begin()
+        await stage.until(one_table(stage), 30)
+        await stage.act({"s": 0, "do": "loss", "share": loss})
+        began = time.monotonic()
+        while time.monotonic() - began < SPAN_S:
+            if pauses:
+                who = rng.choice(stage.cast).id
+                await stage.act({"s": 0, "do": "pause", "who": [who]})
+                await asyncio.sleep(rng.uniform(0.5, 3.0))
+                await stage.act({"s": 0, "do": "resume", "who": [who]})
+                paused += 1
+                await asyncio.sleep(rng.uniform(1.0, 4.0))
+            else:
+                await asyncio.sleep(1)
+    finally:
+        await asyncio.to_thread(stage.finish)
+    lines = judge.read(Path(folder) / "history.jsonl")
+    deaths = [li for li in lines if li.get("event") == "member" and li["state"] == "dead"]
+    false, hours = judge.false_deaths(lines)
+    return false, len(deaths), hours, paused
+
+
+async def heals(folder, count=3):
+    stage = cast.Stage({"members": N, "seconds": 0, "tuning": TUNING}, folder)
+    halves = [[c.id for c in stage.cast[: N // 2]], [c.id for c in stage.cast[N // 2 :]]]
+    found = []
+    try:
+        await stage.begin()
+        await stage.until(one_table(stage), 30)
+        for _ in range(count):
+            await stage.act({"s": 0, "do": "split", "groups": halves})
+            await asyncio.sleep(15)
+            await stage.act({"s": 0, "do": "heal"})
+            found.append(await stage.until(one_table(stage), 90))
+            print(f"  heal: one table in {found[-1]} s", flush=True)
+    finally:
+        await asyncio.to_thread(stage.finish)
+    return found
+
+
+def spread(values):
+    got = sorted(v for v in values if v is not None)
+    if not got:
+        return "none"
+    p99 = got[min(len(got) - 1, round(0.99 * (len(got) - 1)))]
+    return f"median {statistics.median(got):.2f} s, p99 {p99:.2f} s, most {got[-1]:.2f} s, {len(got)} of {len(values)}"
+
+
+def main(out):
+    out = Path(out)
+    print(f"{N} couriers, {TUNING}")
+    times, rejoins = asyncio.run(kills(out / "kills"))
+    print("SIGKILL to dead at all:", spread(times))
+    print("start again to one table:", spread(rejoins))
+    for name, loss, pauses in (
+        ("5% loss", 0.05, False),
+        ("20% loss", 0.2, False),
+        ("pauses 0.5-3 s", 0.0, True),
+    ):
+        false, deaths, hours, paused = asyncio.run(false_deaths(out / name.split()[0], loss, pauses))
+        print(
+            f"{name}: {false} deaths of running members in {hours:.2f} member-hours ({false / hours:.1f} a"
+            f" member-hour); {deaths} deaths in all" + (f"; {paused} pauses" if pauses else "")
+        )
+    print("split in halves for 15 s, heal to one table:", spread(asyncio.run(heals(out / "heals"))))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1] if len(sys.argv) > 1 else "found/members")
--- a/pinspread/fleet/loopback/cast.py
+++ b/pinspread/fleet/loopback/cast.py
@@ -134,6 +134,9 @@
         code = process.wait()
         history.add(self.id, "exited", code=code)
 
+    def running(self):
+        return self.process is not None and self.process.poll() is None
+
     def signal(self, what):
         process = self.process
         if process is not None and process.poll() is None:
@@ -234,32 +237,60 @@
         finally:
             transport.close()
 
+    async def begin(self, late=()):
+        """Open the proxy, start the members that are not held back, wait until they serve."""
+        await self.proxy.open()
+        self.history.add("stage", "stage_began", members=len(self.cast), prefix=self.prefix)
+        for c in self.cast:
+            if c.id not in late:
+                c.start()
+        began = time.monotonic()
+        while not all(c.serving.is_set() for c in self.cast if c.id not in late):
+            if time.monotonic() - began > READY_S:
+                raise SceneError("members did not all serve in time")
+            await asyncio.sleep(0.05)
+        self.history.add("stage", "serving")
+
+    def finish(self):
+        """End every member that runs, by its id, and close the proxy and the history."""
+        self.history.add("stage", "ending", proxy=self.proxy.counts)
+        self._end_all()
+        self.proxy.close()
+        self.history.close()
+
+    def views(self):
+        """Each running member's table as its lines have told it so far: {seer: {id: state}}."""
+        with self.history.lock:
+            lines = list(self.history.lines)
+        views = {}
+        for line in lines:
+            if line.get("event") == "started":
+                views[line["who"]] = {}
+            elif line.get("event") == "member" and line["who"] in views:
+                views[line["who"]][line["id"]] = line["state"]
+        return {c.id: views.get(c.id, {}) for c in self.cast if c.running()}
+
+    async def until(self, test, most_s):
+        """Wait until `test(views)` holds; the seconds it took, or None after `most_s`."""
+        began = time.monotonic()
+        while time.monotonic() - began < most_s:
+            if test(self.views()):
+                return time.monotonic() - began
+            await asyncio.sleep(0.02)
+        return None
+
     async def run(self):
         """The scene to its end; the verdicts."""
         timeline = sorted(self.scene.get("at", []), key=lambda e: e["s"])
-        await self.proxy.open()
         try:
-            self.history.add("stage", "stage_began", members=len(self.cast), prefix=self.prefix)
-            late = set(self.scene.get("late", ()))
-            for c in self.cast:
-                if c.id not in late:
-                    c.start()
-            began = time.monotonic()
-            while not all(c.serving.is_set() for c in self.cast if c.id not in late):
-                if time.monotonic() - began > READY_S:
-                    raise SceneError("members did not all serve in time")
-                await asyncio.sleep(0.05)
+            await self.begin(set(self.scene.get("late", ())))
             began = time.monotonic()
-            self.history.add("stage", "serving")
             for event in timeline:
                 await asyncio.sleep(max(0, began + event["s"] - time.monotonic()))
                 await self.act(event)
             await asyncio.sleep(max(0, began + self.scene["seconds"] - time.monotonic()))
         finally:
-            self.history.add("stage", "ending", proxy=self.proxy.counts)
-            await asyncio.to_thread(self._end_all)
-            self.proxy.close()
-            self.history.close()
+            await asyncio.to_thread(self.finish)
         lines = judge.read(self.folder / "history.jsonl")
         began_us = next(
             li["mono_us"] for li in lines if li.get("event") == "serving" and li["who"] == "stage"
