Make SWIM's turn cost flat in the fleet's size, and model it at 100 and 1,000 members

Cause: every tick of cluster/swim.py scanned the whole table (_forget, the probe round's targets, the count of the living behind every update and suspicion time-out), so a member's work grew with N per turn and the model could not be driven past a few hundred members.

--- /dev/null
+++ b/benchmarks/members_model.py
@@ -0,0 +1,98 @@
+"""SWIM's decision module at sizes no machine holds as processes: `python benchmarks/members_model.py [N ...]`.
+
+Each of N members is a `swim.Member` in one process, with whole tables at the start (a fleet that has met), on a
+network that delivers in 1 to 3 ms and loses nothing. After 6 s one member stops. Prints, a row a size: messages
+a member sends a second before the stop, seconds until the first member suspects and until every other says dead,
+and the wall time taken. SWIM's claim is that the first two stay flat in N and the third grows with log N.
+"""
+
+import heapq
+import random
+import sys
+import time
+
+from pinspread.cluster import swim
+
+MS = 1000
+WARM_US = 6_000_000
+
+
+def fleet(n, seed):
+    tuning = swim.Tuning()
+    members = [swim.Member(f"m{i}", f"a{i}", (), tuning, random.Random(seed * 7919 + i)) for i in range(n)]
+    for m in members:
+        for other in members:
+            if other is not m:
+                m.apply([other.id, other.address, 0, swim.ALIVE, other.id], 0)
+        m.gossip.clear()
+        m.events.clear()
+        m.next_probe_us = m.rng.randrange(tuning.period_us)  # not all in step
+        m.next_sync_us = m.rng.randrange(tuning.sync_us)
+    return members
+
+
+def play(n, seed=1, most_us=120_000_000):
+    members = fleet(n, seed)
+    by_address = {m.address: k for k, m in enumerate(members)}
+    rng = random.Random(seed)
+    heap, order = [], 0
+    wake = [0] * n
+    for k, m in enumerate(members):
+        wake[k] = m.due_us()
+        heap.append((wake[k], 0, k, None))
+    heapq.heapify(heap)
+    victim, stopped = n // 2, False
+    sent_warm, dead_at, first_suspect, told = 0, None, None, set()
+    while heap:
+        now, _, k, message = heapq.heappop(heap)
+        if now > most_us:
+            break
+        if not stopped and now >= WARM_US:
+            stopped = True
+            sent_warm = sum(m.counts["sent"] for m in members)
+        if stopped and k == victim:
+            continue
+        m = members[k]
+        if message is None:
+            if now != wake[k]:
+                continue  # a wake that was moved
+            out = m.tick(now)
+        else:
+            out = m.heard(message, now)
+        for address, sent in out:
+            order += 1
+            heapq.heappush(heap, (now + rng.randrange(1 * MS, 3 * MS), order, by_address[address], sent))
+        for event in m.events:
+            if stopped and event.get("id") == members[victim].id:
+                if event["state"] == swim.SUSPECT and first_suspect is None:
+                    first_suspect = now
+                if event["state"] == swim.DEAD:
+                    told.add(k)
+        m.events.clear()
+        if len(told) == n - 1:
+            dead_at = now
+            break
+        due = m.due_us()
+        if due != wake[k]:
+            wake[k] = due
+            order += 1
+            heapq.heappush(heap, (max(due, now), order, k, None))
+    rate = sent_warm / n / (WARM_US / 1e6)
+    suspect_s = None if first_suspect is None else (first_suspect - WARM_US) / 1e6
+    dead_s = None if dead_at is None else (dead_at - WARM_US) / 1e6
+    return rate, suspect_s, dead_s
+
+
+def main(sizes):
+    print("members  messages/member/s  first suspect s  dead at all s  wall s")
+    for n in sizes:
+        began = time.monotonic()
+        rate, suspect_s, dead_s = play(n)
+        print(
+            f"{n:7}  {rate:17.2f}  {suspect_s:15.2f}  {dead_s:13.2f}  {time.monotonic() - began:6.1f}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main([int(a) for a in sys.argv[1:]] or [100, 1000])
--- a/pinspread/cluster/swim.py
+++ b/pinspread/cluster/swim.py
@@ -88,7 +88,9 @@
         self.health = 0
         self.table = {id_: Node(id_, address, incarnation, ALIVE, now_us)}
         self.gossip = {}  # id -> [row, by, sends left]
-        self.order, self.turn = [], 0
+        self.order, self.turn = [], 0  # ids of the probe round, shuffled
+        self.live = 0  # others alive or suspect
+        self.down = set()  # ids of others dead or left
         self.probes = {}  # seq -> Probe
         self.relays = {}  # our seq -> Relay
         self.suspicions = {}  # id -> Suspicion
@@ -105,7 +107,21 @@
         return [n for n in self.table.values() if n.id != self.id and n.state in states]
 
     def size(self):
-        return 1 + len(self.others(ALIVE, SUSPECT))
+        return 1 + self.live
+
+    def _pick(self, count, avoid=(), states=(ALIVE,)):
+        """Up to `count` other members in `states`, drawn at random, none of `avoid`."""
+        if len(self.order) <= 64:
+            found = [n for n in self.others(*states) if n.id not in avoid]
+            return self.rng.sample(found, min(count, len(found)))
+        chosen = {}
+        for _ in range(count * 8):
+            node = self.table.get(self.order[self.rng.randrange(len(self.order))])
+            if node is not None and node.state in states and node.id not in avoid:
+                chosen[node.id] = node
+                if len(chosen) == count:
+                    break
+        return list(chosen.values())
 
     def view(self):
         """The table as rows: id, address, state, incarnation, since."""
@@ -171,7 +187,7 @@
             self.next_probe_us = now_us + self.scaled(self.tuning.period_us)
             out += self._probe(now_us)
         if now_us >= self.next_sync_us:
-            alone = not self.others(ALIVE, SUSPECT)
+            alone = not self.live
             self.next_sync_us = now_us + (self.tuning.period_us if alone else self.tuning.sync_us)
             out += self._sync(now_us)
         self._forget(now_us)
@@ -179,18 +195,16 @@
         return out
 
     def _probe(self, now_us):
-        targets = [n.id for n in self.others(ALIVE, SUSPECT)]
-        if not targets:
+        if not self.live:
             return []
-        if self.turn >= len(self.order) or not set(self.order) & set(targets):
-            self.order = targets
+        for _ in range(2):
+            while self.turn < len(self.order) and not self._live(self.order[self.turn]):
+                self.turn += 1  # gone since the round was drawn
+            if self.turn < len(self.order):
+                break
+            self.order = [n.id for n in self.others(ALIVE, SUSPECT)]
             self.rng.shuffle(self.order)
             self.turn = 0
-        while self.order[self.turn] not in targets:  # gone since the round was drawn
-            self.turn += 1
-            if self.turn == len(self.order):
-                self.order, self.turn = targets, 0
-                self.rng.shuffle(self.order)
         target = self.order[self.turn]
         self.turn += 1
         node = self.table[target]
@@ -203,8 +217,7 @@
     def _ask_others(self, probe, now_us):
         probe.asked = -1  # none to ask still counts as asked
         target = self.table.get(probe.target)
-        helpers = [n for n in self.others(ALIVE) if n.id != probe.target]
-        chosen = self.rng.sample(helpers, min(self.tuning.k, len(helpers)))
+        chosen = self._pick(self.tuning.k, avoid=(probe.target,))
         if not target or not chosen:
             return []
         probe.asked = len(chosen)
@@ -225,26 +238,27 @@
 
     def _sync(self, now_us):
         """The whole table to one member; to seeds while we know nobody; now and then to one that is dead."""
-        living = self.others(ALIVE, SUSPECT)
-        dead = self.others(DEAD)
-        known = {n.address for n in living}
-        lost_seeds = [s for s in self.seeds if s not in known]
-        if not living and lost_seeds:
-            addresses = lost_seeds
-        elif dead and (not living or self.rng.random() < 0.5):
-            addresses = [self.rng.choice(dead).address]  # how two sides of a healed cut find each other
-        elif living:
-            addresses = [self.rng.choice(living).address]
+        dead = [i for i in self.down if self.table[i].state == DEAD]
+        if not self.live and self.seeds:
+            addresses = self.seeds
+        elif dead and (not self.live or self.rng.random() < 0.5):
+            addresses = [self.table[self.rng.choice(dead)].address]  # how two sides of a healed cut meet
+        elif self.live:
+            addresses = [n.address for n in self._pick(1, states=(ALIVE, SUSPECT))]
         else:
             return []
         message = self._message(SYNC, table=[n.row() for n in self.table.values()], reply=True)
         return [(a, message) for a in addresses]
 
     def _forget(self, now_us):
-        for node in self.others(DEAD, LEFT):
-            if now_us - node.since_us > self.tuning.forget_us:
-                del self.table[node.id]
-                self.gossip.pop(node.id, None)
+        for id_ in [i for i in self.down if now_us - self.table[i].since_us > self.tuning.forget_us]:
+            del self.table[id_]
+            self.gossip.pop(id_, None)
+            self.down.discard(id_)
+
+    def _live(self, id_):
+        node = self.table.get(id_)
+        return node is not None and node.state in (ALIVE, SUSPECT)
 
     def _health(self, delta):
         self.health = max(0, min(self.tuning.most_health, self.health + delta))
@@ -343,7 +357,18 @@
 
     def _set(self, node, state, incarnation, now_us, by):
         changed = node.state != state
+        was = node.state in (ALIVE, SUSPECT)
         node.state, node.incarnation = state, incarnation
+        now = state in (ALIVE, SUSPECT)
+        self.live += now - was
+        if now:
+            self.down.discard(node.id)
+            if not was:  # a place in the round, at random, as SWIM's round-robin asks
+                place = self.rng.randrange(len(self.order) + 1)
+                self.order.insert(place, node.id)
+                self.turn += place < self.turn
+        else:
+            self.down.add(node.id)
         if changed:
             node.since_us = now_us
             self.events.append(
