Add pinspread members, and a picture of who sees whom alive to the stage's report

Change: pinspread members ADDRESS [--json] reads the door's /-/members (cluster/show.py, stdlib HTTP, no extra); fleet/loopback/picture.py draws, for each member, how many running others see it alive, with the faults marked, to OUT/members.png; judge.read_scene gives a history whose times count from when all served, for both.

--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -25,6 +25,9 @@
     )
     commands.add_parser("demo", help="a courier and three stand-in partners, for 20 s", add_help=False)
     commands.add_parser("stage", help="couriers with membership and faults between them", add_help=False)
+    members = commands.add_parser("members", help="a courier's table of members, from its door")
+    members.add_argument("address", help="the door's address, as listen.admin has it")
+    members.add_argument("--json", action="store_true", help="as the door says it")
     config = commands.add_parser("config", help="write, check and show an application's file")
     actions = config.add_subparsers(dest="action", required=True)
     write = actions.add_parser("write", help="make a new application's file")
@@ -53,6 +56,8 @@
             print(f"pinspread {VERSION}")
         elif chosen.command == "config":
             return config(chosen)
+        elif chosen.command == "members":
+            return members(chosen)
         elif getattr(chosen, "app", None):
             serve_application(chosen.app)
         else:
@@ -84,6 +89,26 @@
     return 0
 
 
+def members(chosen):
+    """Print a courier's table of members; 1 if its door cannot tell it."""
+    import time
+
+    import orjson
+
+    from pinspread.cluster import show
+
+    try:
+        view = show.fetch(chosen.address)
+    except (OSError, ValueError) as error:
+        print(f"pinspread: members: {error}", file=sys.stderr)
+        return 1
+    if chosen.json:
+        print(orjson.dumps(view).decode())
+    else:
+        print(*show.lines(view, time.monotonic_ns() // 1000), sep="\n")
+    return 0
+
+
 def reread(last):
     """The configuration file by now, where it has discovery, and where it has notices."""
     told = settings.from_environment(last=last)
--- a/pinspread/fleet/loopback/cast.py
+++ b/pinspread/fleet/loopback/cast.py
@@ -291,14 +291,8 @@
             await asyncio.sleep(max(0, began + self.scene["seconds"] - time.monotonic()))
         finally:
             await asyncio.to_thread(self.finish)
-        lines = judge.read(self.folder / "history.jsonl")
-        began_us = next(
-            li["mono_us"] for li in lines if li.get("event") == "serving" and li["who"] == "stage"
-        )
-        for line in lines:
-            if line.get("event") == "stage_began":
-                line["mono_us"] = began_us  # times of a scene count from when all serve
-        return judge.judge(sorted(lines, key=lambda li: li["mono_us"]), self.scene.get("expect", []))
+        lines = judge.read_scene(self.folder / "history.jsonl")
+        return judge.judge(lines, self.scene.get("expect", []))
 
     def _end_all(self):
         for c in self.cast:
--- a/pinspread/fleet/loopback/judge.py
+++ b/pinspread/fleet/loopback/judge.py
@@ -25,6 +25,16 @@
     return sorted(lines, key=lambda line: line["mono_us"])
 
 
+def read_scene(path):
+    """A stage's history whose times count from when all members served, as a scene's times do."""
+    lines = read(path)
+    began = next(li["mono_us"] for li in lines if li.get("event") == "serving" and li["who"] == "stage")
+    for line in lines:
+        if line.get("event") == "stage_began":
+            line["mono_us"] = began
+    return sorted(lines, key=lambda li: li["mono_us"])
+
+
 class Replay:
     """Who ran and what each saw, at any moment of the history."""
 
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -169,3 +169,41 @@
     lines = judge.read(tmp_path / "history.jsonl")
     ending = next(li for li in lines if li.get("event") == "ending")
     assert ending["proxy"]["lost"] > 100  # the faults were there
+
+
+def test_the_members_command_shows_a_couriers_table_from_its_door(tmp_path, capsys):
+    import asyncio
+
+    from pinspread.__main__ import main
+
+    async def look():
+        stage = cast.Stage({"members": 2, "seconds": 0, "tuning": FAST}, tmp_path)
+        try:
+            await stage.begin()
+            assert await stage.until(lambda views: all(len(v) == 1 for v in views.values()), 10) is not None
+            door = f"{stage.cast[1].real[0]}:9600"
+            return await asyncio.to_thread(main, ["members", door])
+        finally:
+            await asyncio.to_thread(stage.finish)
+
+    assert asyncio.run(look()) == 0
+    shown = capsys.readouterr().out.splitlines()
+    assert shown[0].startswith("m1: incarnation 0, health ")
+    assert [(line.split()[0], line.split()[2]) for line in shown[2:]] == [("m0", "alive"), ("m1", "alive")]
+    assert shown[2].split()[1].endswith(".100:7946")  # m0 as the others reach it, through the proxy
+    assert main(["members", "127.0.0.1:1"]) == 1
+
+
+def test_the_picture_counts_who_sees_whom_alive():
+    from pinspread.fleet.loopback import picture
+
+    lines = [
+        {"mono_us": 0, "who": "stage", "event": "stage_began"},
+        {"mono_us": 0, "who": "m0", "event": "started"},
+        {"mono_us": 0, "who": "m1", "event": "started"},
+        {"mono_us": 1_000_000, "who": "m0", "event": "member", "id": "m1", "state": "alive"},
+        {"mono_us": 2_000_000, "who": "m0", "event": "member", "id": "m1", "state": "suspect"},
+        {"mono_us": 3_000_000, "who": "stage", "event": "ending"},
+        {"mono_us": 4_000_000, "who": "m0", "event": "member", "id": "m1", "state": "alive"},
+    ]
+    assert picture.counts(lines)["m1"] == [(0.0, 0), (1.0, 1), (2.0, 0)]
