Carry TCP through the stage's proxy: cuts close and refuse, delays hold chunks

Change: Proxy.open_streams(ports) listens at each member's front; the sender is known by the connection's source address; a cut or split closes an open connection at its next bytes and refuses new ones; delay and jitter hold each chunk in order; loss and duplicates are left to TCP. The courier does not bind its source address yet, so streams from it would pass as a stranger's, unfaulted: to be done with the first TCP between couriers. Measured: a real-socket test with an echo stand-in: echo, 0.2 s held, an open connection ended by a one-way cut of the answers, a new one refused, served again after heal.

--- a/pinspread/fleet/loopback/faults.py
+++ b/pinspread/fleet/loopback/faults.py
@@ -4,6 +4,10 @@
 comes to `front(i)` from `real(j)` goes `j -> i` and meets that pair's rule: lost (a share, or all of it on a
 cut), held a while (delay plus jitter, which also reorders), sent twice. What comes from an address that is no
 member's passes unchanged, so that a stranger's garbage reaches the member as it was sent.
+
+Streams (TCP) go the same way through `front(i)` at the ports that `open_streams` names, the sender known by the
+address that its connection comes from: a cut or a split closes the connection at its next bytes and refuses new
+ones; delay and jitter hold each chunk; loss and duplicates are left to TCP, which hides them.
 """
 
 import asyncio
@@ -88,6 +92,51 @@
             transport, _ = await loop.create_datagram_endpoint(lambda m=member: _Front(self, m), address)
             self.sockets.append(transport)
 
+    async def open_streams(self, ports):
+        """Listen for TCP at every member's front on each of `ports`; OSError if one is taken."""
+        for member, (host, _) in self.front.items():
+            for port in ports:
+                server = await asyncio.start_server(
+                    lambda r, w, m=member, p=port: self._stream(r, w, m, p), host, port
+                )
+                self.sockets.append(server)
+
+    async def _stream(self, reader, writer, to, port):
+        source = self.by_host.get(writer.get_extra_info("peername")[0])
+        if source is not None and self.rules.of(source, to).cut:
+            self.counts["refused"] = self.counts.get("refused", 0) + 1
+            writer.close()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(self.real[to][0], port)
+        except OSError:
+            writer.close()
+            return
+        await asyncio.gather(
+            self._pump(reader, far_writer, source, to, writer),
+            self._pump(far_reader, writer, to, source, far_writer),
+            return_exceptions=True,
+        )
+
+    async def _pump(self, reader, writer, source, to, other):
+        """One direction, chunk by chunk, under the rule of the moment; closes both ends at a cut or the end."""
+        try:
+            while chunk := await reader.read(65_536):
+                rule = self.rules.of(source, to) if source is not None and to is not None else CALM
+                if rule.cut:
+                    self.counts["reset"] = self.counts.get("reset", 0) + 1
+                    break
+                wait = rule.delay_s + self.rng.random() * rule.jitter_s
+                if wait > 0:
+                    await asyncio.sleep(wait)
+                writer.write(chunk)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+            other.close()
+
     def close(self):
         for transport in self.sockets:
             transport.close()
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -207,3 +207,61 @@
         {"mono_us": 4_000_000, "who": "m0", "event": "member", "id": "m1", "state": "alive"},
     ]
     assert picture.counts(lines)["m1"] == [(0.0, 0), (1.0, 1), (2.0, 0)]
+
+
+def test_streams_through_the_proxy_are_held_cut_and_refused_by_the_rules():
+    import asyncio
+    import time
+
+    from pinspread.fleet.loopback.faults import Proxy
+
+    prefix = "127.31.77"
+    real = {"a": (f"{prefix}.10", 7947), "b": (f"{prefix}.11", 7947)}
+    front = {"a": (f"{prefix}.100", 7947), "b": (f"{prefix}.101", 7947)}
+
+    async def echo(reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    async def call(text, reader=None, writer=None):
+        if writer is None:
+            reader, writer = await asyncio.open_connection(*front["b"], local_addr=(real["a"][0], 0))
+        writer.write(text)
+        try:
+            got = await asyncio.wait_for(reader.read(100), 2)
+        except ConnectionResetError:
+            got = b""
+        return reader, writer, got
+
+    async def play():
+        server = await asyncio.start_server(echo, *real["b"])
+        rules = Rules(["a", "b"])
+        proxy = Proxy(rules, real, front)
+        await proxy.open_streams([7947])
+        try:
+            r1, w1, got = await call(b"one")
+            assert got == b"one"
+            rules.change(["a"], ["b"], delay_s=0.2)
+            began = time.monotonic()
+            _, w2, got = await call(b"two")
+            assert got == b"two" and time.monotonic() - began >= 0.2
+            rules.heal()
+            rules.change(["b"], ["a"], cut=True)  # the answers' way only
+            assert (await call(b"three", r1, w1))[2] == b""  # the open connection ends at its next bytes
+            rules.change(["a"], ["b"], cut=True)
+            _, w3, got = await call(b"four")
+            assert got == b""  # refused: closed at once
+            rules.heal()
+            _, w4, got = await call(b"five")
+            assert got == b"five"
+            for w in (w1, w2, w3, w4):
+                w.close()
+        finally:
+            proxy.close()
+            server.close()
+        return proxy.counts
+
+    counts = asyncio.run(play())
+    assert counts["refused"] == 1 and counts["reset"] >= 1
