Keep membership from ending the courier when its socket is refused or closed

The run loop had ended before; why is not shown (no line said so), so it now logs members_ended, and receive errors such as a refusal told of an earlier datagram are logged and borne instead of ending the loop. Change: cluster/member.py: sends catch ClosedResourceError and BrokenResourceError as well; receive's OSError is a line; the end of the loop is a line.

--- a/pinspread/cluster/member.py
+++ b/pinspread/cluster/member.py
@@ -62,21 +62,32 @@
 
     async def run(self):
         """Take part until cancelled; `open` first."""
-        async with self.sock:
-            while True:
-                now = self.now()
-                await self._send(self.member.tick(now), now)
-                wait_s = min(MOST_WAIT_S, max(0, self.member.due_us() - now) / 1e6)
-                with anyio.move_on_after(wait_s):
+        try:
+            async with self.sock:
+                await self._turns()
+        finally:
+            log("members_ended", id=self.plan.id, mono_us=self.now())
+
+    async def _turns(self):
+        while True:
+            now = self.now()
+            await self._send(self.member.tick(now), now)
+            wait_s = min(MOST_WAIT_S, max(0, self.member.due_us() - now) / 1e6)
+            with anyio.move_on_after(wait_s):
+                try:
                     data, (source, _) = await self.sock.receive()
-                    now = self.now()
-                    try:
-                        message = wire.unpack(data, self.plan.fleet)
-                    except wire.Dropped as why:
-                        self.dropped += 1
-                        log("member_dropped", source=source, why=str(why), mono_us=now)
-                        continue
-                    await self._send(self.member.heard(message, now), now)
+                except OSError as error:
+                    # Danger: a refusal that the kernel tells of an earlier datagram would end membership.
+                    log("member_unheard", error=str(error), mono_us=now)
+                    continue
+                now = self.now()
+                try:
+                    message = wire.unpack(data, self.plan.fleet)
+                except wire.Dropped as why:
+                    self.dropped += 1
+                    log("member_dropped", source=source, why=str(why), mono_us=now)
+                    continue
+                await self._send(self.member.heard(message, now), now)
 
     async def leave(self):
         """Say that we leave, as SIGTERM asks."""
@@ -92,8 +103,9 @@
             host, port = split_address(address)
             try:
                 await self.sock.sendto(wire.pack(message, self.plan.fleet), host, port)
-            except OSError as error:
-                log("member_unsent", to=address, error=str(error), mono_us=now)
+            except (OSError, anyio.ClosedResourceError, anyio.BrokenResourceError) as error:
+                # Danger: membership that cannot send must never end the courier that serves.
+                log("member_unsent", to=address, error=repr(error), mono_us=now)
         for event in self.member.events:
             log(event.pop("event"), seer=self.plan.id, mono_us=now, **event)
         self.member.events.clear()
