Say once in the judge when a scene ended and what one table is

Need: a reread found the scene's end looked up three times (judge twice, picture once) and the test of one table written twice (judge, benchmarks/members.py). Change: Replay.end and judge.agreed, used by the judge, the picture and the benchmark.

--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -21,11 +21,7 @@
 
 def one_table(stage):
     def test(views):
-        running = set(views)
-        return len(running) == N and all(
-            all((view.get(m) == "alive") == (m in running) for m in (c.id for c in stage.cast) if m != s)
-            for s, view in views.items()
-        )
+        return len(views) == N and judge.agreed(set(views), views, [c.id for c in stage.cast])
 
     return test
 
--- a/pinspread/fleet/loopback/judge.py
+++ b/pinspread/fleet/loopback/judge.py
@@ -44,18 +44,16 @@
             (li["mono_us"] for li in lines if li.get("event") == "stage_began"), lines[0]["mono_us"]
         )
         self.members = sorted({li["who"] for li in lines if li.get("event") == "started"})
+        self.end = next((li["mono_us"] for li in lines if li.get("event") == "ending"), lines[-1]["mono_us"])
 
     def at(self, s):
         return self.begin + int(s * SECOND_US)
 
     def at_end(self):
         """Who ran, not paused, when the scene ended (before the stage ended them all)."""
-        end = next(
-            (li["mono_us"] for li in self.lines if li.get("event") == "ending"), self.lines[-1]["mono_us"]
-        )
         final = set()
         for when, running, _ in self.states():
-            if when > end:
+            if when > self.end:
                 break
             final = set(running)
         return final
@@ -113,26 +111,28 @@
 def _one_table(replay, lines, e):
     after = replay.at(e.get("after_s", 0))
     since = None
-    end = next((li["mono_us"] for li in lines if li.get("event") == "ending"), lines[-1]["mono_us"])
-    if "until_s" in e:
-        end = min(end, replay.at(e["until_s"]))
+    end = min(replay.end, replay.at(e.get("until_s", 1e9)))
     for when, running, views in replay.states():
         if when < after:
             continue
         if when > end:
             break
-        agreed = all(
-            all((views[s].get(m) == "alive") == (m in running) for m in replay.members if m != s)
-            for s in running
-        )
-        if agreed and since is None:
+        one = agreed(running, views, replay.members)
+        if one and since is None:
             since = when
-        elif not agreed:
+        elif not one:
             since = None
     took = None if since is None else max(0, since - after) / SECOND_US
     return took is not None and took <= e["within_s"], {"took_s": took}
 
 
+def agreed(running, views, members):
+    """Whether every running member sees every running one alive, and none of the others alive."""
+    return all(
+        all((views[s].get(m) == "alive") == (m in running) for m in members if m != s) for s in running
+    )
+
+
 def _refuted(replay, lines, e):
     after = replay.at(e.get("after_s", 0))
     said = [
--- a/pinspread/fleet/loopback/picture.py
+++ b/pinspread/fleet/loopback/picture.py
@@ -7,9 +7,8 @@
     """{id: [(seconds, how many running members see it alive)]} from a history's lines."""
     replay = judge.Replay(lines)
     series = {m: [] for m in replay.members}
-    end = next((li["mono_us"] for li in lines if li.get("event") == "ending"), lines[-1]["mono_us"])
     for when, running, views in replay.states():
-        if when > end:
+        if when > replay.end:
             break
         s = (when - replay.begin) / judge.SECOND_US
         for m in series:
