Exchange large tables of members in runs that fit a datagram, and find seeds by DNS-SD

Rows were changed in place, so no two tables could share them. Change: rows are replaced and never changed; a sync of more than 400 rows takes those that are down and a run of the others, and a newcomer is answered with all runs. `[members] service` has a member that knows nobody ask DNS-SD once a second (cluster/seeds.py); `config records` prints a member's own records. benchmarks/members_model.py shares unchanged rows between members and draws a plot. Ruled out: a hand-over that binds membership's port twice (roadmap). An application's file is read with no platform environment, so nothing is ever passed; a test holds that.

--- a/benchmarks/members_model.py
+++ b/benchmarks/members_model.py
@@ -1,15 +1,16 @@
-"""SWIM's decision module at sizes no machine holds as processes: `python benchmarks/members_model.py [N ...]`.
+"""SWIM's decision module at sizes no machine holds as processes: `python benchmarks/members_model.py [N ...] [OUT.png]`.
 
 Each of N members is a `swim.Member` in one process, with whole tables at the start (a fleet that has met), on a
 network that delivers in 1 to 3 ms and loses nothing. After 6 s one member stops. Prints, a row a size: messages
 a member sends a second before the stop, seconds until the first member suspects and until every other says dead,
-and the wall time taken. SWIM's claim is that the first two stay flat in N and the third grows with log N.
+and the wall time taken; with OUT.png, a plot of them. Members share the rows that they have not changed. SWIM's claim is that the first two stay flat in N and the third grows with log N.
 """
 
 import heapq
 import random
 import sys
 import time
+from collections import ChainMap
 
 from pinspread.cluster import swim
 
@@ -20,12 +21,12 @@
 def fleet(n, seed):
     tuning = swim.Tuning()
     members = [swim.Member(f"m{i}", f"a{i}", (), tuning, random.Random(seed * 7919 + i)) for i in range(n)]
+    rows = {m.id: m.table[m.id] for m in members}
     for m in members:
-        for other in members:
-            if other is not m:
-                m.apply([other.id, other.address, 0, swim.ALIVE, other.id], 0)
-        m.gossip.clear()
-        m.events.clear()
+        m.table = ChainMap({m.id: rows[m.id]}, rows)
+        m.order = [i for i in rows if i != m.id]
+        m.rng.shuffle(m.order)
+        m.live = n - 1
         m.next_probe_us = m.rng.randrange(tuning.period_us)  # not all in step
         m.next_sync_us = m.rng.randrange(tuning.sync_us)
     return members
@@ -83,16 +84,43 @@
     return rate, suspect_s, dead_s
 
 
-def main(sizes):
+def plot(rows, path):
+    """Messages a member sends a second, and detection times, against N."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    sizes = [r[0] for r in rows]
+    figure, (left, right) = pyplot.subplots(1, 2, figsize=(10, 4))
+    left.plot(sizes, [r[1] for r in rows], marker="o")
+    left.set(xscale="log", xlabel="members", ylabel="messages a member sends a second", ylim=(0, None))
+    right.plot(sizes, [r[2] for r in rows], marker="o", label="first suspicion")
+    right.plot(sizes, [r[3] for r in rows], marker="s", label="dead at all others")
+    right.set(xscale="log", xlabel="members", ylabel="seconds after the stop", ylim=(0, None))
+    right.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=110)
+
+
+def main(sizes, path=None):
     print("members  messages/member/s  first suspect s  dead at all s  wall s")
+    rows = []
     for n in sizes:
         began = time.monotonic()
-        rate, suspect_s, dead_s = play(n)
+        rows.append((n, *play(n)))
+        _, rate, suspect_s, dead_s = rows[-1]
         print(
             f"{n:7}  {rate:17.2f}  {suspect_s:15.2f}  {dead_s:13.2f}  {time.monotonic() - began:6.1f}",
             flush=True,
         )
+    if path:
+        plot(rows, path)
 
 
 if __name__ == "__main__":
-    main([int(a) for a in sys.argv[1:]] or [100, 1000])
+    words = sys.argv[1:]
+    main(
+        [int(a) for a in words if a.isdigit()] or [100, 1000],
+        next((a for a in words if not a.isdigit()), None),
+    )
--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -176,7 +176,7 @@
     if file.members:  # Danger: serving loads membership only where a file turns it on
         from pinspread.cluster.member import Membership
 
-        companions.append(Membership(file.members.plan()))
+        companions.append(Membership(file.members.plan(), records(file)))
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     told = application.told(file)
     anyio.run(platform.serve, told, amqp, again, discover, file.brokers.login(), companions)
--- a/pinspread/cluster/member.py
+++ b/pinspread/cluster/member.py
@@ -10,12 +10,14 @@
 from dataclasses import dataclass
 
 import anyio
+import anyio.to_thread
 
-from pinspread.cluster import swim, wire
+from pinspread.cluster import seeds, swim, wire
 from pinspread.core.log import log
 from pinspread.net.sockets import split_address
 
 MOST_WAIT_S = 0.05  # a turn at least this often, whatever is due
+SEEDS_S = 1.0  # between questions for seeds by DNS-SD, while this member knows nobody
 LEAVE_S = 0.2  # what a leave may take of the 3.7 s of SIGTERM
 
 
@@ -30,6 +32,7 @@
     fleet: bytes
     tuning: swim.Tuning
     clock_offset_us: int = 0
+    service: str = ""  # seeds are also looked for under this DNS-SD service
 
 
 class Membership:
@@ -37,8 +40,9 @@
 
     name = "members"
 
-    def __init__(self, plan: Plan, seed: int | None = None):
+    def __init__(self, plan: Plan, records=None, seed: int | None = None):
         self.plan = plan
+        self.records = records  # where `plan.service` is asked for, as config.dnssd.Records
         self.member = swim.Member(
             plan.id, plan.advertise, plan.seeds, plan.tuning, random.Random(seed), self.now(), 0
         )
@@ -63,11 +67,25 @@
     async def run(self):
         """Take part until cancelled; `open` first."""
         try:
-            async with self.sock:
+            async with self.sock, anyio.create_task_group() as tasks:
+                if self.plan.service:
+                    tasks.start_soon(self._look_for_seeds)
                 await self._turns()
         finally:
             log("members_ended", id=self.plan.id, mono_us=self.now())
 
+    async def _look_for_seeds(self):
+        """While nobody is known, ask DNS-SD who could be."""
+        while True:
+            if not self.member.live:
+                found = await anyio.to_thread.run_sync(
+                    seeds.found_or_none, self.records, self.plan.service, abandon_on_cancel=True
+                )
+                if found:
+                    known = [*self.plan.seeds, *found]
+                    self.member.seeds = [a for a in dict.fromkeys(known) if a != self.plan.advertise]
+            await anyio.sleep(SEEDS_S)
+
     async def _turns(self):
         while True:
             now = self.now()
--- a/pinspread/cluster/swim.py
+++ b/pinspread/cluster/swim.py
@@ -9,12 +9,13 @@
 
 import math
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 ALIVE, SUSPECT, DEAD, LEFT = "alive", "suspect", "dead", "left"
 RANK = {ALIVE: 0, SUSPECT: 1, DEAD: 2, LEFT: 2}
 PING, ACK, NACK, ASK, SYNC = "ping", "ack", "nack", "ask", "sync"
 MOST_UPDATES = 12  # a message's piggyback; a datagram of 16 members' updates stays under 1,400 bytes
+MOST_ROWS = 400  # of the table in one message: some 50 bytes a row, so that it fits a datagram
 NACK_SHARE = 0.8  # of the probe time-out, after which a go-between says nack (Lifeguard)
 
 
@@ -33,9 +34,9 @@
     forget_us: int = 120_000_000  # how long the dead and those that left stay in the table
 
 
-@dataclass
+@dataclass(frozen=True, slots=True)
 class Node:
-    """One row of the table."""
+    """One row of the table; a change puts another in its place, so that tables may share rows."""
 
     id: str
     address: str
@@ -248,8 +249,22 @@
             addresses = [n.address for n in self._pick(1, states=(ALIVE, SUSPECT))]
         else:
             return []
-        message = self._message(SYNC, table=[n.row() for n in self.table.values()], reply=True)
-        return [(a, message) for a in addresses]
+        return [(a, self._message(SYNC, table=self._rows(), reply=True)) for a in addresses]
+
+    def _rows(self):
+        """The table for a message; of one that would not fit, those that are down and a run of the others."""
+        if len(self.table) <= MOST_ROWS:
+            return [n.row() for n in self.table.values()]
+        ids = [self.id] + self.rng.sample(sorted(self.down), min(len(self.down), MOST_ROWS // 4))
+        start = self.rng.randrange(len(self.order))
+        run = self.order[start : start + MOST_ROWS - len(ids)]
+        run += self.order[: MOST_ROWS - len(ids) - len(run)]
+        return [self.table[i].row() for i in dict.fromkeys(ids + run) if i in self.table]
+
+    def _whole(self):
+        """The whole table in as many parts as it takes, for a member that has just joined."""
+        rows = [n.row() for n in self.table.values()]
+        return [rows[n : n + MOST_ROWS] for n in range(0, len(rows), MOST_ROWS)]
 
     def _forget(self, now_us):
         for id_ in [i for i in self.down if now_us - self.table[i].since_us > self.tuning.forget_us]:
@@ -289,6 +304,7 @@
         if sender == self.id:
             return []
         known = self.table.get(sender)
+        joins = known is None
         if known and known.state in (DEAD, LEFT) and message["inc"] <= known.incarnation:
             self._spread(known, self.id)  # so that it hears of its end at once, and refutes
         self.apply([sender, message["from_at"], message["inc"], ALIVE, sender], now_us)
@@ -320,8 +336,8 @@
             for row in message["table"]:
                 self.apply(list(row[:4]) + [sender], now_us, whole=True)
             if message.get("reply"):
-                table = [n.row() for n in self.table.values()]
-                out.append((message["from_at"], self._message(SYNC, table=table, reply=False)))
+                for table in self._whole() if joins else [self._rows()]:
+                    out.append((message["from_at"], self._message(SYNC, table=table, reply=False)))
         self.counts["sent"] += len(out)
         return out
 
@@ -331,7 +347,7 @@
         if id_ == self.id:
             if state in (SUSPECT, DEAD, LEFT) and incarnation >= self.incarnation and not self.leaving:
                 self.incarnation = incarnation + 1  # refute: a higher incarnation wins over any rumour
-                self.table[self.id].incarnation = self.incarnation
+                self.table[self.id] = replace(self.table[self.id], incarnation=self.incarnation)
                 self._health(1)
                 self._spread(self.table[self.id], self.id)
                 self.events.append(
@@ -341,16 +357,14 @@
         node = self.table.get(id_)
         if node is None:
             if state in (ALIVE, SUSPECT):
-                node = self.table[id_] = Node(id_, address, incarnation, DEAD, now_us)
-                self._set(node, state, incarnation, now_us, by)
+                self._set(Node(id_, address, incarnation, DEAD, now_us), state, incarnation, now_us, by)
             return
         if incarnation > node.incarnation or (
             incarnation == node.incarnation and RANK[state] > RANK[node.state]
         ):
             if node.state in (DEAD, LEFT) and state == SUSPECT and incarnation == node.incarnation:
                 return
-            node.address = address
-            self._set(node, state, incarnation, now_us, by)
+            self._set(replace(node, address=address), state, incarnation, now_us, by)
         elif state == SUSPECT and node.state == SUSPECT and incarnation == node.incarnation and not whole:
             suspicion = self.suspicions.get(id_)
             if suspicion is not None and by not in suspicion.confirmers | {suspicion.first, self.id}:
@@ -359,7 +373,8 @@
     def _set(self, node, state, incarnation, now_us, by):
         changed = node.state != state
         was = node.state in (ALIVE, SUSPECT)
-        node.state, node.incarnation = state, incarnation
+        since = now_us if changed else node.since_us
+        node = self.table[node.id] = Node(node.id, node.address, incarnation, state, since)
         now = state in (ALIVE, SUSPECT)
         self.live += now - was
         if now:
@@ -371,7 +386,6 @@
         else:
             self.down.add(node.id)
         if changed:
-            node.since_us = now_us
             self.events.append(
                 {"event": "member", "id": node.id, "state": state, "incarnation": incarnation, "by": by}
             )
@@ -389,8 +403,7 @@
         """Say that we leave, to every member that lives; the messages."""
         self.leaving = True
         self.incarnation += 1
-        me = self.table[self.id]
-        me.state, me.incarnation = LEFT, self.incarnation
+        me = self.table[self.id] = replace(self.table[self.id], state=LEFT, incarnation=self.incarnation)
         self._spread(me, self.id)
         rows = [me.row() + [self.id]]
         message = {"t": SYNC, "from": self.id, "from_at": self.address, "inc": self.incarnation}
--- a/pinspread/config/application.py
+++ b/pinspread/config/application.py
@@ -96,6 +96,7 @@
     listen: Address
     advertise: Address = ""  # where the others reach this one; the listen address if empty
     seeds: list[Address] = []
+    service: Annotated[str, Field(pattern=r"^(_[a-z0-9-]{1,15}\._udp)?$")] = ""  # seeds by DNS-SD as well
     fleet: Name  # couriers of another fleet are not heard
     period_s: Annotated[float, Field(ge=0.05, le=60)] = 1.0
     timeout_s: Annotated[float, Field(ge=0.01, le=30)] = 0.4
@@ -133,6 +134,7 @@
             self.fleet.encode(),
             tuning,
             self.clock_offset_ms * 1000,
+            self.service,
         )
 
 
--- a/pinspread/config/dnssd.py
+++ b/pinspread/config/dnssd.py
@@ -175,6 +175,17 @@
             f"{instance} SRV 0 0 {port} {name}",
             f'{instance} TXT "txtvers=1" "app={name}"',
         ]
+    if file.members and file.members.service:
+        host, port = split_address(file.members.advertise or file.members.listen)
+        service = file.members.service
+        instance, target = f"{file.members.id}.{service}", f"{file.members.id}.members"
+        lines += [
+            f"_services._dns-sd._udp PTR {service}",
+            f"{service} PTR {instance}",
+            f"{instance} SRV 0 0 {port} {target}",
+            f'{instance} TXT "txtvers=1" "fleet={file.members.fleet}"',
+            f"{target} A {host}",
+        ]
     hosts = {split_address(a)[0] for a in (file.listen.resp, file.listen.amqp) if a}
     lines += [f"{name} A {host}" for host in sorted(hosts)]
     return "\n".join(lines) + "\n"
--- a/pinspread/fleet/loopback/cast.py
+++ b/pinspread/fleet/loopback/cast.py
@@ -6,6 +6,7 @@
     late = ["m4"]               # not started until a fault `start` says so
     seconds = 20
     seed = 1
+    service = ""                # members find their seeds by this DNS-SD service instead of a list
     [tuning]                    # goes into every courier's [members] table
     period_s = 0.2
     [[at]]                      # a fault at a time: do = pause resume kill term wipe start loss delay
@@ -93,12 +94,13 @@
             text = text.replace(old, f"{self.real[0]}:{port}")
         text = text.replace('folder = "state"', f'folder = "{self.folder / "state"}"')
         text = text.replace('zone_file = "partners.zone"', f'zone_file = "{s.folder / "partners.zone"}"')
-        seeds = [f"{c.front[0]}:{PORT}" for c in s.cast[:2] if c is not self]
+        by_service = s.scene.get("service", "")
+        seeds = [] if by_service else [f"{c.front[0]}:{PORT}" for c in s.cast[:2] if c is not self]
         tuning = "".join(f"{k} = {orjson.dumps(v).decode()}\n" for k, v in s.tuning.items())
         text += (
             f'\n[members]\nid = "{self.id}"\nlisten = "{self.real[0]}:{PORT}"\n'
             f'advertise = "{self.front[0]}:{PORT}"\nseeds = {orjson.dumps(seeds).decode()}\n'
-            f'fleet = "{s.fleet}"\nclock_offset_ms = {self.offset_ms}\n{tuning}'
+            f'fleet = "{s.fleet}"\nservice = "{by_service}"\nclock_offset_ms = {self.offset_ms}\n{tuning}'
         )
         return text
 
@@ -173,7 +175,16 @@
         self.rules = Rules([c.id for c in self.cast])
         real = {c.id: c.real for c in self.cast}
         self.proxy = Proxy(self.rules, real, {c.id: c.front for c in self.cast}, scene.get("seed", 0))
-        (self.folder / "partners.zone").write_text("$TTL 60\n")
+        (self.folder / "partners.zone").write_text("\n".join(self._zone()) + "\n")
+
+    def _zone(self):
+        """The zone of all couriers' discovery: no partners; with `service`, the first two as seeds."""
+        yield "$TTL 60"
+        service = self.scene.get("service")
+        for c in self.cast[:2] if service else ():
+            yield f"{service} PTR {c.id}.{service}"
+            yield f"{c.id}.{service} SRV 0 0 {PORT} {c.id}.members"
+            yield f"{c.id}.members A {c.front[0]}"
 
     def who(self, event):
         names = event.get("who") or list(self.by_id)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -87,6 +87,22 @@
     assert all(place in line for place, line in zip(places, lines, strict=True))
 
 
+def test_a_member_is_found_by_the_records_that_its_own_file_prints(tmp_path, capsys):
+    from pinspread.cluster import seeds
+
+    members = '[members]\nid = "c1"\nlisten = "127.0.0.7:7946"\nfleet = "f"\n'
+    path = tmp_path / "f.toml"
+    path.write_text(application.template("shop") + members + 'service = "_pinspread-swim._udp"\n')
+    assert main(["config", "records", str(path)]) == 0
+    (tmp_path / "zone").write_text(capsys.readouterr().out)
+    records = dnssd.Records("partners.example.", zone_file=str(tmp_path / "zone"))
+    assert seeds.find(records, "_pinspread-swim._udp") == ["127.0.0.7:7946"]
+    records.zone_file = str(tmp_path / "none")
+    assert seeds.found_or_none(records, "_pinspread-swim._udp") is None
+    told = application.told(application.load(str(path)))
+    assert told.passed is None  # so no second process ever binds membership's port beside the first
+
+
 def test_the_couriers_own_records_are_a_zone_that_leads_to_it(tmp_path, capsys):
     path = tmp_path / "f.toml"
     path.write_text(GOOD)
--- a/tests/test_stage.py
+++ b/tests/test_stage.py
@@ -130,6 +130,18 @@
     assert all(v["ok"] for v in found), found
 
 
+def test_members_find_their_seeds_by_dns_sd(tmp_path):
+    scene = {
+        "members": 3,
+        "seconds": 4,
+        "tuning": FAST,
+        "service": "_pinspread-swim._udp",
+        "expect": [{"kind": "one_table", "within_s": 3}],
+    }
+    found = cast.play(scene, tmp_path)
+    assert all(v["ok"] for v in found), found
+
+
 def accusations(tmp_path, most_health):
     """Suspicions raised by a member whose every datagram comes 0.25 s late, beyond the period of 0.2 s."""
     scene = {
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pinspread.cluster import swim
+from pinspread.cluster import swim, wire
 
 MS = 1000
 
@@ -166,3 +166,21 @@
     assert a.suspicions["x"].confirmers == set()
     a.apply(["x", "xx", 0, swim.SUSPECT, "c"], 2)
     assert a.suspicions["x"].confirmers == {"c"}
+
+
+def test_a_table_of_5000_rows_goes_in_messages_that_fit_a_datagram_and_a_newcomer_gets_all():
+    big = swim.Member("big", "10.0.0.1:7946", rng=random.Random(1))
+    for n in range(5000):
+        big.apply([f"courier-{n}", f"10.1.{n // 250}.{n % 250}:7946", n % 3, swim.ALIVE, "x"], 0)
+    newcomer = swim.Member("new", "10.0.0.2:7946", seeds=["10.0.0.1:7946"], rng=random.Random(2))
+    (address, ask), *_ = newcomer.tick(0)
+    assert address == "10.0.0.1:7946" and ask["t"] == swim.SYNC
+    answers = [m for _, m in big.heard(ask, 1)]
+    for message in [*answers, *(m for _, m in big.tick(1))]:
+        assert len(wire.pack(message, b"fleet")) <= 60_000
+        newcomer.heard(message, 2)
+    assert len(newcomer.table) == len(big.table) == 5002
+    seen = set()
+    for _ in range(200):  # those that know each other exchange runs, which cover all in time
+        seen |= {row[0] for row in big._rows()}
+    assert len(seen) == len(big.table)
