Add the lease decisions and an exhaustive check that finds every rule that is taken out

Change: cluster/lease.py (row, voter, holder as values in, values out) and cluster/modelcheck.py: breadth first over every order of events for 3 voters and 2 contenders with loss, duplicates, reordering, pauses (also between check and act), and clocks that gain or lose the drift bound at any tick; any voter may judge.

--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,112 @@
+"""The lease decisions step by step, and the exhaustive check of them, which finds each part that is taken out."""
+
+import pytest
+
+from pinspread.cluster import lease, modelcheck
+from pinspread.cluster.lease import Answer, Claim, Command, Request, Row
+
+TERMS = lease.Terms(lease_us=1000, drift_us=50, margin_us=20, renew_us=300, retry_us=100)
+
+
+@pytest.mark.parametrize(
+    ("row", "command", "after", "why"),
+    [
+        (Row(), Command("grant", "a", 0, 7), Row("a", 1, 1, 7), "ok"),
+        (Row("a", 1, 1, 7), Command("grant", "a", 0, 7), Row("a", 1, 1, 7), "ok"),  # asked twice
+        (Row("a", 1, 3, 7), Command("grant", "b", 3, 8), Row("b", 4, 4, 8), "ok"),
+        (Row("a", 1, 4, 7), Command("grant", "b", 3, 8), Row("a", 1, 4, 7), "changed meanwhile"),
+        (Row("a", 1, 1, 7), Command("renew", "a", 1), Row("a", 1, 2, 7), "ok"),
+        (Row("b", 4, 4, 8), Command("renew", "a", 1), Row("b", 4, 4, 8), "not the holder"),
+        (Row("a", 4, 4, 8), Command("renew", "a", 1), Row("a", 4, 4, 8), "stale token 1: it is 4"),
+        (Row("a", 1, 2, 7), Command("release", "a", 1), Row("", 1, 3, 0), "ok"),
+        (Row("", 1, 3, 0), Command("release", "a", 1), Row("", 1, 3, 0), "not the holder"),
+        (Row("", 1, 3, 0), Command("grant", "b", 3, 9), Row("b", 4, 4, 9), "ok"),
+    ],
+)
+def test_a_row_after_each_command(row, command, after, why):
+    assert lease.apply(row, command) == (after, why)
+
+
+@pytest.mark.parametrize(
+    ("request_", "now_us", "said"),
+    [
+        (Request("ask", "t", "b", 0, 9), 1049, Answer("t", 9, "held by a", 0, 1)),
+        (Request("ask", "t", "b", 0, 9), 1050, Command("grant", "b", 2, 9)),  # lease and drift have passed
+        (Request("ask", "t", "a", 0, 7), 1, Command("grant", "a", 2, 7)),  # its answer was lost
+        (Request("ask", "t", "a", 0, 9), 1, Answer("t", 9, "held by a", 0, 1049)),  # started again: waits
+        (Request("keep", "t", "a", 1, 9), 5000, Command("renew", "a", 1)),  # late, but nobody else has it
+        (Request("keep", "t", "a", 3, 9), 1, Answer("t", 9, "stale token 3: it is 1")),
+        (Request("give", "t", "b", 1, 9), 1, Answer("t", 9, "not the holder")),
+        (Request("give", "t", "a", 1, 9), 1, Command("release", "a", 1)),
+    ],
+)
+def test_what_a_voter_makes_of_a_request(request_, now_us, said):
+    assert lease.judge(Row("a", 1, 2, 7), 0, request_, TERMS, now_us) == said
+
+
+def test_a_claim_counts_from_before_it_asked_and_ends_when_a_renewal_is_refused():
+    claim, request = lease.tick(Claim(), TERMS, "t", "a", 100, 7)
+    assert request == Request("ask", "t", "a", 0, 7)
+    assert lease.tick(claim, TERMS, "t", "a", 150, 8) == (claim, None)
+    claim, again = lease.tick(claim, TERMS, "t", "a", 200, 8)
+    assert again == request  # the same number, so that it is granted once
+    claim = lease.heard(claim, Answer("t", 7, "ok", 5), TERMS, 600)
+    assert claim.token == 5 and claim.expiry_us == 1100
+    assert lease.may_act(claim, TERMS, 1029) and not lease.may_act(claim, TERMS, 1030)
+    claim, renewal = lease.tick(claim, TERMS, "t", "a", 601, 9)
+    assert renewal == Request("keep", "t", "a", 5, 9)
+    assert lease.heard(claim, Answer("t", 8, "not the holder"), TERMS, 610) == claim  # of another request
+    kept = lease.heard(claim, Answer("t", 9, "ok", 5), TERMS, 700)
+    assert kept.expiry_us == 1601
+    lost = lease.heard(claim, Answer("t", 9, "not the holder"), TERMS, 700)
+    assert not lease.may_act(lost, TERMS, 700)
+    silent, _ = lease.tick(claim, TERMS, "t", "a", 1100, 10)
+    assert silent.token == 0
+
+
+def without_drift_of_the_holder(claim, terms, now_us):
+    return lease.may_act(claim, terms._replace(drift_us=0), now_us)
+
+
+def without_drift_of_the_voter(row, applied_us, request, terms, now_us):
+    return lease.judge(row, applied_us, request, terms._replace(drift_us=0), now_us)
+
+
+def without_the_wait(row, applied_us, request, terms, now_us):
+    return lease.judge(row, applied_us, request, terms._replace(lease_us=0, drift_us=0), now_us)
+
+
+def without_the_version(row, command):
+    arg = row.version if command.kind == lease.GRANT else command.arg
+    return lease.apply(row, command._replace(arg=arg))
+
+
+def test_no_order_of_events_within_six_steps_gives_two_holders():
+    found = modelcheck.explore(modelcheck.Bounds(depth=6))
+    assert found["whole"] and not found["violation"], found
+    assert found["states"] > 500_000
+
+
+@pytest.mark.parametrize(
+    "rules",
+    [
+        modelcheck.Rules(may_act=without_drift_of_the_holder),
+        modelcheck.Rules(judge=without_drift_of_the_voter),
+        modelcheck.Rules(judge=without_the_wait),
+        modelcheck.Rules(apply=without_the_version),
+    ],
+    ids=["holder's drift", "voter's drift", "the wait", "the version"],
+)
+def test_the_check_finds_two_holders_where_a_rule_is_taken_out(rules):
+    found = modelcheck.explore(modelcheck.Bounds(depth=6), rules)
+    assert "may act" in found["violation"], found
+    assert 3 <= len(found["steps"]) <= 7
+
+
+def test_acts_of_a_holder_that_paused_are_refused_by_the_fence_alone():
+    bounds = modelcheck.Bounds(depth=9, voters=1, jumps=0, drift=0, numbers=2, log=2, acts=True)
+    terms = modelcheck.TERMS._replace(lease_us=2, drift_us=0)
+    found = modelcheck.explore(bounds, terms=terms)
+    assert found["whole"] and not found["violation"], found
+    unfenced = modelcheck.explore(bounds, modelcheck.Rules(fenced=False), terms)
+    assert unfenced["violation"] == "the resource took token 1 after 2", unfenced
