Hold fleet-wide tasks by leases: votes over pysyncobj, claims, fenced acts, and stage tests

A task must be done by one courier of the fleet at a time, over losses, pauses and cuts. Change: cluster/quorum.py (pysyncobj with a transport of our own: simplex streams from the voter's own address, sealed frames, commands that are not plain pickles refused, a wiped voter that neither votes nor stands until it has caught up), cluster/leases.py (requests and answers as datagrams, the voter that judges, acts with Fencing-Token), [leases] in an application's file with config check, /-/leases and `pinspread leases`. The stage has a stand-in resource that fences, lease figures in scenes, clocks that run fast or slow, faults aimed at "@leader" and "@holder:TASK", and judges one_holder, tokens_grow, held_again, never_held, stale_refused. Lines of members carry the machine's time, not the offset one. Off without the table; the serving process loads none of it (test). Cause of a mend: at SIGTERM membership's `leave` wrote to the socket while a turn did (member.py `_send`; anyio lets one task write at a time), and the courier ended with a traceback (seen once in four scenes). Both now take turns; the new test in test_cluster_wire.py fails without that. Found on the way: voters that said in their hello that they had grown up kept others from their first start for ever; a hello now says whether the log is empty.

--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -25,9 +25,10 @@
     )
     commands.add_parser("demo", help="a courier and three stand-in partners, for 20 s", add_help=False)
     commands.add_parser("stage", help="couriers with membership and faults between them", add_help=False)
-    members = commands.add_parser("members", help="a courier's table of members, from its door")
-    members.add_argument("address", help="the door's address, as listen.admin has it")
-    members.add_argument("--json", action="store_true", help="as the door says it")
+    for name, text in (("members", "a courier's table of members"), ("leases", "who holds what")):
+        shown = commands.add_parser(name, help=f"{text}, from its door")
+        shown.add_argument("address", help="the door's address, as listen.admin has it")
+        shown.add_argument("--json", action="store_true", help="as the door says it")
     config = commands.add_parser("config", help="write, check and show an application's file")
     actions = config.add_subparsers(dest="action", required=True)
     write = actions.add_parser("write", help="make a new application's file")
@@ -56,8 +57,8 @@
             print(f"pinspread {VERSION}")
         elif chosen.command == "config":
             return config(chosen)
-        elif chosen.command == "members":
-            return members(chosen)
+        elif chosen.command in ("members", "leases"):
+            return show(chosen)
         elif getattr(chosen, "app", None):
             serve_application(chosen.app)
         else:
@@ -89,8 +90,8 @@
     return 0
 
 
-def members(chosen):
-    """Print a courier's table of members; 1 if its door cannot tell it."""
+def show(chosen):
+    """Print what a courier's door tells of a part of the fleet; 1 if it cannot."""
     import time
 
     import orjson
@@ -98,14 +99,14 @@
     from pinspread.cluster import show
 
     try:
-        view = show.fetch(chosen.address)
+        view = show.fetch(chosen.address, chosen.command)
     except (OSError, ValueError) as error:
-        print(f"pinspread: members: {error}", file=sys.stderr)
+        print(f"pinspread: {chosen.command}: {error}", file=sys.stderr)
         return 1
     if chosen.json:
         print(orjson.dumps(view).decode())
     else:
-        print(*show.lines(view, time.monotonic_ns() // 1000), sep="\n")
+        print(*show.LINES[chosen.command](view, time.monotonic_ns() // 1000), sep="\n")
     return 0
 
 
@@ -177,6 +178,10 @@
         from pinspread.cluster.member import Membership
 
         companions.append(Membership(file.members.plan(), records(file)))
+    if file.leases:
+        from pinspread.cluster.leases import Leases
+
+        companions.append(Leases(file.leases.plan(file.journal.folder), companions[0]))
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     told = application.told(file)
     anyio.run(platform.serve, told, amqp, again, discover, file.brokers.login(), companions)
--- a/pinspread/cluster/member.py
+++ b/pinspread/cluster/member.py
@@ -1,7 +1,7 @@
 """Membership on a UDP socket: the clock, the datagrams and the log around `swim.Member`.
 
 One turn: read the monotonic clock once (plus the configured offset), take what came, do what is due,
-send. Every change of the table is a log line `member` with the seer's monotonic microseconds (`mono_us`),
+send. Every change of the table is a log line `member` with the machine's monotonic microseconds (`mono_us`),
 so that lines of several processes on one machine can be put in one order.
 """
 
@@ -21,6 +21,11 @@
 LEAVE_S = 0.2  # what a leave may take of the 3.7 s of SIGTERM
 
 
+def machine_us() -> int:
+    """Monotonic microseconds of the machine, for the log: one clock for all, whatever their offsets."""
+    return time.monotonic_ns() // 1000
+
+
 @dataclass(frozen=True)
 class Plan:
     """What the file's `[members]` says: `listen` is bound, `advertise` is where others reach us."""
@@ -32,6 +37,7 @@
     fleet: bytes
     tuning: swim.Tuning
     clock_offset_us: int = 0
+    clock_rate: float = 1.0  # for the fault stage: a clock that runs fast or slow
     service: str = ""  # seeds are also looked for under this DNS-SD service
 
 
@@ -47,11 +53,12 @@
             plan.id, plan.advertise, plan.seeds, plan.tuning, random.Random(seed), self.now(), 0
         )
         self.sock = None
+        self.sending = anyio.Lock()
         self.dropped = 0
 
     def now(self) -> int:
-        """Monotonic microseconds as this member sees them, offset as configured."""
-        return time.monotonic_ns() // 1000 + self.plan.clock_offset_us
+        """Monotonic microseconds as this member sees them, offset and fast or slow as configured."""
+        return self.plan.clock_offset_us + int(machine_us() * self.plan.clock_rate)
 
     def view(self) -> dict:
         """The table and this member's health."""
@@ -72,7 +79,7 @@
                     tasks.start_soon(self._look_for_seeds)
                 await self._turns()
         finally:
-            log("members_ended", id=self.plan.id, mono_us=self.now())
+            log("members_ended", id=self.plan.id, mono_us=machine_us())
 
     async def _look_for_seeds(self):
         """While nobody is known, ask DNS-SD who could be."""
@@ -96,14 +103,14 @@
                     data, (source, _) = await self.sock.receive()
                 except OSError as error:
                     # Danger: a refusal that the kernel tells of an earlier datagram would end membership.
-                    log("member_unheard", error=str(error), mono_us=now)
+                    log("member_unheard", error=str(error), mono_us=machine_us())
                     continue
                 now = self.now()
                 try:
                     message = wire.unpack(data, self.plan.fleet)
                 except wire.Dropped as why:
                     self.dropped += 1
-                    log("member_dropped", source=source, why=str(why), mono_us=now)
+                    log("member_dropped", source=source, why=str(why), mono_us=machine_us())
                     continue
                 await self._send(self.member.heard(message, now), now)
 
@@ -114,16 +121,18 @@
         now = self.now()
         with anyio.move_on_after(LEAVE_S):
             await self._send(self.member.leave(), now)
-        log("members_left", id=self.plan.id, mono_us=now)
+        log("members_left", id=self.plan.id, mono_us=machine_us())
 
     async def _send(self, out, now):
         for address, message in out:
             host, port = split_address(address)
             try:
-                await self.sock.sendto(wire.pack(message, self.plan.fleet), host, port)
+                # Danger: the socket takes one sender at a time, and a leave comes while the turns go on.
+                async with self.sending:
+                    await self.sock.sendto(wire.pack(message, self.plan.fleet), host, port)
             except (OSError, anyio.ClosedResourceError, anyio.BrokenResourceError) as error:
                 # Danger: membership that cannot send must never end the courier that serves.
-                log("member_unsent", to=address, error=repr(error), mono_us=now)
+                log("member_unsent", to=address, error=repr(error), mono_us=machine_us())
         for event in self.member.events:
-            log(event.pop("event"), seer=self.plan.id, mono_us=now, **event)
+            log(event.pop("event"), seer=self.plan.id, mono_us=machine_us(), **event)
         self.member.events.clear()
--- a/pinspread/cluster/show.py
+++ b/pinspread/cluster/show.py
@@ -1,4 +1,4 @@
-"""`pinspread members ADDRESS`: a courier's table of members, as its door tells it."""
+"""`pinspread members ADDRESS`, `pinspread leases ADDRESS`: what a courier's door tells, as aligned text."""
 
 import http.client
 
@@ -9,12 +9,12 @@
 CALL_S = 5.0
 
 
-def fetch(address: str) -> dict:
-    """The door's `/-/members` as a dict; OSError or ValueError with the reason if it cannot be had."""
+def fetch(address: str, what: str = "members") -> dict:
+    """The door's `/-/members` or the like as a dict; OSError or ValueError with why it cannot be had."""
     host, port = split_address(address)
     connection = http.client.HTTPConnection(host, port, timeout=CALL_S)
     try:
-        connection.request("GET", "/-/members")
+        connection.request("GET", f"/-/{what}")
         response = connection.getresponse()
         body = response.read()
     finally:
@@ -24,19 +24,32 @@
     return orjson.loads(body)
 
 
-def lines(view: dict, now_us: int) -> list[str]:
-    """The table as aligned text: id, address, state, incarnation, seconds in that state."""
+def table(rows) -> list[str]:
+    """Rows of text with aligned columns."""
+    widths = [max(len(r[c]) for r in rows) for c in range(len(rows[0]))]
+    return ["  ".join(cell.ljust(w) for cell, w in zip(r, widths, strict=True)).rstrip() for r in rows]
+
+
+def members(view: dict, now_us: int) -> list[str]:
+    """Id, address, state, incarnation, seconds in that state."""
     rows = [("id", "address", "state", "incarnation", "for s")]
     for m in view["members"]:
-        rows.append(
-            (
-                m["id"],
-                m["address"],
-                m["state"],
-                str(m["incarnation"]),
-                f"{(now_us - m['since_us']) / 1e6:.1f}",
-            )
-        )
-    widths = [max(len(r[c]) for r in rows) for c in range(5)]
-    text = [f"{view['id']}: incarnation {view['incarnation']}, health {view['health']}"]
-    return text + ["  ".join(cell.ljust(w) for cell, w in zip(r, widths, strict=True)).rstrip() for r in rows]
+        age = f"{(now_us - m['since_us']) / 1e6:.1f}"
+        rows.append((m["id"], m["address"], m["state"], str(m["incarnation"]), age))
+    return [f"{view['id']}: incarnation {view['incarnation']}, health {view['health']}", *table(rows)]
+
+
+def leases(view: dict, now_us: int) -> list[str]:
+    """Task, holder, token, how long that binds this voter, and what this courier may do itself."""
+    rows = [("task", "holder", "token", "binds for s", "mine, for s")]
+    for t in view["tasks"]:
+        mine = f"{t['mine']}, {t['acts_for_ms'] / 1000:.1f}" if t["mine"] else "-"
+        binds = f"{t['binds_for_ms'] / 1000:.1f}" if "binds_for_ms" in t else "?"
+        rows.append((t["task"], t.get("holder") or "-", str(t.get("token", "?")), binds, mine))
+    head = f"{view['id']}: " + ("a voter" if view["voter"] else "no voter")
+    if view["voter"]:
+        head += f", leader {view['leader'] or 'unknown'}, term {view['term']}"
+    return [head, *table(rows)]
+
+
+LINES = {"members": members, "leases": leases}
--- a/pinspread/cluster/wire.py
+++ b/pinspread/cluster/wire.py
@@ -22,36 +22,59 @@
     """A datagram that is not taken; the text says why."""
 
 
-def pack(message: dict, key: bytes) -> bytes:
-    """The datagram of a message."""
-    body = msgpack.packb(message, use_bin_type=True)
-    return HEAD.pack(MAGIC, VERSION, len(body), xxhash.xxh32_intdigest(key + body)) + body
+def seal(body: bytes, key: bytes, magic: bytes = MAGIC) -> bytes:
+    """A body with its head."""
+    return HEAD.pack(magic, VERSION, len(body), xxhash.xxh32_intdigest(key + body)) + body
 
 
-def unpack(data: bytes, key: bytes) -> dict:
-    """The message of a datagram that is whole, of our fleet and well-formed; `Dropped` otherwise."""
-    view = memoryview(data)
-    if len(view) < HEAD.size:
+def head(data, magic: bytes = MAGIC) -> tuple[int, int]:
+    """The length and the sum that a head says of its body; `Dropped` if it is none of ours."""
+    if len(data) < HEAD.size:
         raise Dropped("shorter than a head")
-    magic, version, length, sum_ = HEAD.unpack(view[: HEAD.size])
-    if magic != MAGIC:
-        raise Dropped("not a membership datagram")
+    said, version, length, sum_ = HEAD.unpack(data[: HEAD.size])
+    if said != magic:
+        raise Dropped(f"not a datagram or frame of {magic.decode()}")
     if version != VERSION:
         raise Dropped(f"version {version}")
-    body = view[HEAD.size :]
-    if len(body) != length:
-        raise Dropped(f"length {len(body)}, said {length}")
-    if xxhash.xxh32_intdigest(key + bytes(body)) != sum_:
+    return length, sum_
+
+
+def body_of(body: bytes, sum_: int, key: bytes) -> dict:
+    """The map in a body that has the sum; `Dropped` otherwise."""
+    if xxhash.xxh32_intdigest(key + body) != sum_:
         raise Dropped("checksum: another fleet's key, or damaged")
     try:
-        message = msgpack.unpackb(body, raw=False, strict_map_key=True, max_bin_len=0)
+        message = msgpack.unpackb(body, raw=False, strict_map_key=True)
     except Exception as error:  # noqa: BLE001  msgpack raises several kinds for bad bytes
         raise Dropped(f"body: {type(error).__name__}") from None
+    if not isinstance(message, dict):
+        raise Dropped("body is not a map")
+    return message
+
+
+def whole(data: bytes, key: bytes, magic: bytes = MAGIC) -> dict:
+    """The map of a datagram that is whole and of our fleet; `Dropped` otherwise."""
+    length, sum_ = head(data, magic)
+    body = bytes(memoryview(data)[HEAD.size :])
+    if len(body) != length:
+        raise Dropped(f"length {len(body)}, said {length}")
+    return body_of(body, sum_, key)
+
+
+def pack(message: dict, key: bytes, magic: bytes = MAGIC) -> bytes:
+    """The datagram of a message."""
+    return seal(msgpack.packb(message, use_bin_type=True), key, magic)
+
+
+def unpack(data: bytes, key: bytes) -> dict:
+    """The message of a datagram that is whole, of our fleet and well-formed; `Dropped` otherwise."""
+    message = whole(data, key)
     _check(message)
     return message
 
 
-def _is(value, kind):
+def is_a(value, kind) -> bool:
+    """As isinstance, but a bool is no int."""
     return isinstance(value, kind) and not (kind is int and isinstance(value, bool))
 
 
@@ -59,12 +82,12 @@
     return (
         isinstance(row, list)
         and len(row) == width
-        and _is(row[0], str)
-        and _is(row[1], str)
-        and _is(row[2], int)
+        and is_a(row[0], str)
+        and is_a(row[1], str)
+        and is_a(row[2], int)
         and row[2] >= 0
         and row[3] in STATES
-        and (width == 4 or _is(row[4], str))
+        and (width == 4 or is_a(row[4], str))
     )
 
 
@@ -77,16 +100,18 @@
 }
 
 
+def need(message: dict, fields: dict):
+    """`Dropped` unless the message has each field with a value of its type."""
+    for name, type_ in fields.items():
+        if not is_a(message.get(name), type_):
+            raise Dropped(f"{message.get('t')}: field {name!r}")
+
+
 def _check(message):
-    if not isinstance(message, dict):
-        raise Dropped("body is not a map")
     kind = message.get("t")
     if kind not in NEEDS:
         raise Dropped(f"kind {kind!r}")
-    wanted = {"from": str, "from_at": str, "inc": int, "up": list} | NEEDS[kind]
-    for name, type_ in wanted.items():
-        if not _is(message.get(name), type_):
-            raise Dropped(f"{kind}: field {name!r}")
+    need(message, {"from": str, "from_at": str, "inc": int, "up": list} | NEEDS[kind])
     if message["inc"] < 0 or not all(_row(row, 5) for row in message["up"]):
         raise Dropped(f"{kind}: an update is not well-formed")
     if kind == swim.SYNC and not all(_row(row, 4) for row in message["table"]):
--- a/pinspread/config/application.py
+++ b/pinspread/config/application.py
@@ -108,6 +108,7 @@
     forget_s: Annotated[float, Field(ge=1, le=86_400)] = 120.0
     most_health: Annotated[int, Field(ge=0, le=8)] = 8  # Lifeguard: 0 turns local health off
     clock_offset_ms: Annotated[int, Field(ge=-3_600_000, le=3_600_000)] = 0  # for the fault stage
+    clock_rate: Annotated[float, Field(ge=0.5, le=2)] = 1.0  # likewise
 
     def plan(self):
         """What `pinspread.cluster.member` runs by."""
@@ -134,10 +135,57 @@
             self.fleet.encode(),
             tuning,
             self.clock_offset_ms * 1000,
+            self.clock_rate,
             self.service,
         )
 
 
+class Voter(Part):
+    """A courier that has a vote on leases, and where its `[leases] advertise` is."""
+
+    id: Name
+    address: Address
+
+
+class LeaseTask(Part):
+    """A task of the fleet; with an address, its holder calls it every `every_s`."""
+
+    name: Name
+    address: Address = ""
+    every_s: Annotated[float, Field(ge=0.01, le=86_400)] = 1.0
+
+
+class Leases(Part):
+    """Leases for fleet-wide tasks; off unless the file has this table, which needs `[members]`."""
+
+    listen: Address
+    advertise: Address = ""  # where the others reach this one; the listen address if empty
+    lease_s: Annotated[float, Field(ge=0.2, le=3600)] = 10.0
+    renew_s: Annotated[float, Field(ge=0.05, le=3600)] = 3.0
+    retry_s: Annotated[float, Field(ge=0.05, le=60)] = 0.5
+    drift_s: Annotated[float, Field(ge=0, le=600)] = 0.5  # a clock's gain or loss in the course of a lease
+    margin_s: Annotated[float, Field(ge=0, le=600)] = 0.2  # between the check and the act's effect
+    election_s: Annotated[float, Field(ge=0.1, le=60)] = 0.5
+    voters: Annotated[list[Voter], Field(alias="voter", min_length=1)]
+    tasks: Annotated[list[LeaseTask], Field(alias="task", min_length=1, max_length=64)]
+
+    def plan(self, folder):
+        """What `pinspread.cluster.leases` runs by; what lasts goes below `folder`."""
+        from pinspread.cluster import lease, leases
+
+        us = 1_000_000
+        figures = (self.lease_s, self.drift_s, self.margin_s, self.renew_s, self.retry_s)
+        return leases.Plan(
+            self.listen,
+            self.advertise or self.listen,
+            {v.id: v.address for v in self.voters},
+            tuple(leases.Task(t.name, t.address, int(t.every_s * us)) for t in self.tasks),
+            lease.Terms(*(int(f * us) for f in figures)),
+            self.election_s,
+            os.path.join(folder, "leases"),
+        )
+
+
 class Notices(Part):
     address: Address
 
@@ -170,6 +218,7 @@
     brokers: Brokers = Brokers()
     notices: Notices | None = None
     members: Members | None = None
+    leases: Leases | None = None
     kinds: Annotated[list[Name], Field(min_length=1)] = ["partner"]
     classes: Annotated[list[Class], Field(alias="class", min_length=1)]
     tenants: Annotated[list[Tenant], Field(alias="tenant", min_length=1)]
@@ -214,6 +263,8 @@
         yield "members.timeout_s", "must be under period_s: an indirect probe needs the rest of the period"
     if members.get("id") and members.get("listen") in used:
         yield "members.listen", "is the address of a front or the door"
+    if "leases" in raw:
+        yield from _lease_disagreements(raw, table("leases"), members)
     if bool(discovery.get("zone_file")) == bool(discovery.get("server")):
         yield "discovery", "give either zone_file or server"
     for n, one in enumerate(tables("class")):
@@ -229,6 +280,32 @@
                 yield f"{what}[{n}].name", f"{name!r} is named twice"
 
 
+def _lease_disagreements(raw, leases, members):
+    if "members" not in raw:
+        yield "leases", "needs [members]: its id, its fleet and its clock"
+    if leases.get("listen") and leases.get("listen") == members.get("listen"):
+        yield "leases.listen", "is the address of [members]"
+    default = Leases.model_fields
+    figures = {}
+    for name in ("lease_s", "renew_s", "retry_s", "drift_s", "margin_s"):
+        figures[name] = leases.get(name, default[name].default)
+    if all(isinstance(f, int | float) for f in figures.values()):
+        left = figures["lease_s"] - figures["drift_s"] - figures["margin_s"]
+        if figures["renew_s"] + 2 * figures["retry_s"] >= left:
+            yield (
+                "leases.renew_s",
+                f"renew_s and two retry_s must fit into lease_s - drift_s - margin_s ({left:g} s)",
+            )
+    for what, field, least in (("voter", "id", (3, 5)), ("voter", "address", ()), ("task", "name", ())):
+        items = leases.get(what)
+        found = [i.get(field) for i in items if isinstance(i, dict)] if isinstance(items, list) else []
+        if least and found and len(found) not in least:
+            yield f"leases.{what}", f"{len(found)} voters: 3 or 5 are needed"
+        for n, one in enumerate(found):
+            if one is not None and one in found[:n]:
+                yield f"leases.{what}[{n}].{field}", f"{one!r} is named twice"
+
+
 def _place(parts):
     text = ""
     for part in parts:
--- a/pinspread/fleet/loopback/cast.py
+++ b/pinspread/fleet/loopback/cast.py
@@ -1,4 +1,5 @@
-"""The fault stage: N real couriers with membership on loopback, the proxy between them, a timeline of faults.
+"""The fault stage: N real couriers with membership on loopback, the proxy between them, a timeline of
+faults.
 
 A scene is a TOML file:
 
@@ -9,15 +10,19 @@
     service = ""                # members find their seeds by this DNS-SD service instead of a list
     [tuning]                    # goes into every courier's [members] table
     period_s = 0.2
-    [[at]]                      # a fault at a time: do = pause resume kill term wipe start loss delay
+    [leases]                    # optional: figures of every courier's [leases] table, and
+    voters = 3                  #   the first so many members vote
+    tasks = ["sweep"]           #   held and acted on at the stage's stand-in resource, every act_s
+    act_s = 0.1
+    [[at]]                      # a fault at a time (who may be "@leader" or "@holder:TASK"): do = pause resume kill term wipe start loss delay
     s = 4                       #   duplicate cut split heal offset garbage stranger
     do = "pause"
     who = ["m3"]
     [[expect]]                  # see judge.py
     kind = "never_dead"
 
-`play(scene, folder)` runs it and gives the verdicts; every line goes to `folder/history.jsonl`. The stage ends
-only the processes that it started, by their ids, and every wait has a bound.
+`play(scene, folder)` runs it and gives the verdicts; every line goes to `folder/history.jsonl`. The stage
+ends only the processes that it started, by their ids, and every wait has a bound.
 """
 
 import asyncio
@@ -38,8 +43,10 @@
 from pinspread.config import application
 from pinspread.fleet.loopback import judge
 from pinspread.fleet.loopback.faults import Proxy, Rules
+from pinspread.fleet.loopback.resource import Resource
 
-PORT = 7946
+PORT, LEASES_PORT, RESOURCE_PORT = 7946, 7947, 9700
+RESOURCE_HOST = 200
 READY_S = 30.0  # for all members to serve
 END_S = 4.0  # for a SIGTERM to end a member, after which SIGKILL
 _blocks = count(os.getpid() % 200 * 8)
@@ -82,7 +89,7 @@
         self.real = (f"{stage.prefix}.{10 + number}", PORT)
         self.front = (f"{stage.prefix}.{100 + number}", PORT)
         self.folder = stage.folder / self.id
-        self.offset_ms = 0
+        self.offset_ms, self.clock_rate = 0, 1.0
         self.process = None
         self.reader = None
         self.serving = threading.Event()
@@ -100,9 +107,24 @@
         text += (
             f'\n[members]\nid = "{self.id}"\nlisten = "{self.real[0]}:{PORT}"\n'
             f'advertise = "{self.front[0]}:{PORT}"\nseeds = {orjson.dumps(seeds).decode()}\n'
-            f'fleet = "{s.fleet}"\nservice = "{by_service}"\nclock_offset_ms = {self.offset_ms}\n{tuning}'
+            f'fleet = "{s.fleet}"\nservice = "{by_service}"\nclock_offset_ms = {self.offset_ms}\n'
+            f"clock_rate = {self.clock_rate}\n{tuning}"
         )
-        return text
+        return text + (self._leases() if s.leases else "")
+
+    def _leases(self):
+        s = self.stage
+        figures = dict(s.leases)
+        voters, tasks, act_s = figures.pop("voters", 3), figures.pop("tasks"), figures.pop("act_s", 0.1)
+        lines = ["", "[leases]", f'listen = "{self.real[0]}:{LEASES_PORT}"']
+        lines.append(f'advertise = "{self.front[0]}:{LEASES_PORT}"')
+        lines += [f"{k} = {v}" for k, v in figures.items()]
+        for c in s.cast[:voters]:
+            lines += ["[[leases.voter]]", f'id = "{c.id}"', f'address = "{c.front[0]}:{LEASES_PORT}"']
+        for task in tasks:
+            lines += ["[[leases.task]]", f'name = "{task}"', f"every_s = {act_s}"]
+            lines.append(f'address = "{s.prefix}.{RESOURCE_HOST}:{RESOURCE_PORT}"')
+        return "\n".join(lines) + "\n"
 
     def start(self):
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -169,11 +191,13 @@
         self.prefix = f"127.{20 + block // 250 % 200}.{block % 250}"
         self.fleet = scene.get("fleet", "stage")
         self.tuning = scene.get("tuning", {})
+        self.leases = scene.get("leases")
         self.cast = [Courier(self, n) for n in range(scene["members"])]
         self.by_id = {c.id: c for c in self.cast}
         self.history = History(self.folder / "history.jsonl")
         self.rules = Rules([c.id for c in self.cast])
         real = {c.id: c.real for c in self.cast}
+        self.resource = Resource(self.history, (f"{self.prefix}.{RESOURCE_HOST}", RESOURCE_PORT))
         self.proxy = Proxy(self.rules, real, {c.id: c.front for c in self.cast}, scene.get("seed", 0))
         (self.folder / "partners.zone").write_text("\n".join(self._zone()) + "\n")
 
@@ -188,7 +212,19 @@
 
     def who(self, event):
         names = event.get("who") or list(self.by_id)
-        return [self.by_id[n] for n in names]
+        return [self.by_id[n] for n in map(self.called, names) if n]
+
+    def called(self, name):
+        """A member's id; `@leader` and `@holder:TASK` are who it is by now, empty if nobody is known."""
+        if not name.startswith("@"):
+            return name
+        event, field = ("quorum_leader", "leader") if name == "@leader" else ("lease_held", "who")
+        task = name.partition(":")[2]
+        with self.history.lock:
+            for line in reversed(self.history.lines):
+                if line.get("event") == event and line.get("task", "") == task and line.get(field):
+                    return line[field]
+        return ""
 
     async def act(self, event):
         do = event["do"]
@@ -209,7 +245,7 @@
                     c.start()
         elif do == "offset":
             for c in self.who(event):
-                c.offset_ms = event["ms"]
+                c.offset_ms, c.clock_rate = event.get("ms", 0), event.get("rate", 1.0)
         elif do in ("loss", "delay", "duplicate", "cut"):
             what = {
                 "loss": {"loss": event.get("share", 0.0)},
@@ -219,7 +255,7 @@
             }[do]
             self.rules.change(event.get("from", ()), event.get("to", ()), **what)
         elif do == "split":
-            self.rules.split(event["groups"])
+            self.rules.split([[n for n in map(self.called, g) if n] for g in event["groups"]])
         elif do == "heal":
             self.rules.heal()
         elif do in ("garbage", "stranger"):
@@ -244,13 +280,17 @@
                     else:
                         ping = {"t": "ping", "from": "x", "from_at": f"{self.prefix}.250:1", "inc": 0}
                         data = wire.pack(ping | {"up": [], "seq": n, "to": c.id}, b"another")
-                    transport.sendto(data, c.real)
+                    transport.sendto(data, (c.real[0], event.get("port", PORT)))
         finally:
             transport.close()
 
     async def begin(self, late=()):
         """Open the proxy, start the members that are not held back, wait until they serve."""
-        await self.proxy.open()
+        more = [LEASES_PORT] if self.leases else []
+        await self.proxy.open(more)
+        await self.proxy.open_streams(more)
+        if self.leases:
+            await self.resource.open()
         self.history.add("stage", "stage_began", members=len(self.cast), prefix=self.prefix)
         for c in self.cast:
             if c.id not in late:
@@ -267,6 +307,7 @@
         self.history.add("stage", "ending", proxy=self.proxy.counts)
         self._end_all()
         self.proxy.close()
+        self.resource.close()
         self.history.close()
 
     def views(self):
--- a/pinspread/fleet/loopback/faults.py
+++ b/pinspread/fleet/loopback/faults.py
@@ -1,13 +1,14 @@
-"""The stage's fault proxy for datagrams between couriers, and the rules that it keeps for each directed pair.
+"""The stage's fault proxy for datagrams between couriers, and the rules that it keeps for each directed
+pair.
 
-Member `i` binds `real(i)` and is reached by the others at `front(i)`, where the proxy listens. A datagram that
-comes to `front(i)` from `real(j)` goes `j -> i` and meets that pair's rule: lost (a share, or all of it on a
-cut), held a while (delay plus jitter, which also reorders), sent twice. What comes from an address that is no
-member's passes unchanged, so that a stranger's garbage reaches the member as it was sent.
+Member `i` binds `real(i)` and is reached by the others at `front(i)`, where the proxy listens. A datagram
+that comes to `front(i)` from `real(j)` goes `j -> i` and meets that pair's rule: lost (a share, or all of
+it on a cut), held a while (delay plus jitter, which also reorders), sent twice. What comes from an address
+that is no member's passes unchanged, so that a stranger's garbage reaches the member as it was sent.
 
-Streams (TCP) go the same way through `front(i)` at the ports that `open_streams` names, the sender known by the
-address that its connection comes from: a cut or a split closes the connection at its next bytes and refuses new
-ones; delay and jitter hold each chunk; loss and duplicates are left to TCP, which hides them.
+Streams (TCP) go the same way through `front(i)` at the ports that `open_streams` names, the sender known by
+the address that its connection comes from: a cut or a split closes the connection at its next bytes and
+refuses new ones; delay and jitter hold each chunk; loss and duplicates are left to TCP, which hides them.
 """
 
 import asyncio
@@ -64,8 +65,8 @@
 
 
 class _Front(asyncio.DatagramProtocol):
-    def __init__(self, proxy, to):
-        self.proxy, self.to = proxy, to
+    def __init__(self, proxy, to, port):
+        self.proxy, self.to, self.port = proxy, to, port
         self.transport = None
 
     def connection_made(self, transport):
@@ -85,12 +86,15 @@
         self.sockets = []
         self.counts = {"passed": 0, "lost": 0, "doubled": 0, "strangers": 0}
 
-    async def open(self):
-        """Listen at every member's front; OSError if an address is taken."""
+    async def open(self, more_ports=()):
+        """Listen at every member's front, on further ports too; OSError if an address is taken."""
         loop = asyncio.get_running_loop()
-        for member, address in self.front.items():
-            transport, _ = await loop.create_datagram_endpoint(lambda m=member: _Front(self, m), address)
-            self.sockets.append(transport)
+        for member, (host, first) in self.front.items():
+            for port in (first, *more_ports):
+                transport, _ = await loop.create_datagram_endpoint(
+                    lambda m=member, p=port: _Front(self, m, p), (host, port)
+                )
+                self.sockets.append(transport)
 
     async def open_streams(self, ports):
         """Listen for TCP at every member's front on each of `ports`; OSError if one is taken."""
@@ -143,7 +147,7 @@
 
     def passing(self, front, data, host):
         source = self.by_host.get(host)
-        to = self.real[front.to]
+        to = (self.real[front.to][0], front.port)
         if source is None:
             self.counts["strangers"] += 1
             front.transport.sendto(data, to)
--- a/pinspread/fleet/loopback/judge.py
+++ b/pinspread/fleet/loopback/judge.py
@@ -1,19 +1,22 @@
 """The stage's history and its judge: one JSON line an event, in monotonic microseconds of the machine.
 
-A line has `mono_us`, `who` (a member's id, or `stage`) and `event`. The judge replays each member's table from
-its `member` lines and which processes ran from the stage's own lines, then weighs expectations:
+A line has `mono_us`, `who` (a member's id, or `stage`) and `event`. The judge replays each member's table
+from its `member` lines and which processes ran from the stage's own lines, then weighs expectations:
 
-- `dead`: every member that runs at the end says `of` is dead (or left) within `within_s` of `after_s`;
-- `never_dead`: nobody says any of `of` (all members if empty) is dead from `from_s` to `to_s`;
-- `one_table`: from `after_s` on, within `within_s`, every running member sees every running one alive and none
-  that is down alive, and that holds to the end (or to `until_s`);
-- `refuted`: `of` refuted a rumour of its end, or came back with a higher incarnation.
+- `dead`: every member that runs at the end says `of` is dead (or left) within `within_s` of `after_s`; -
+`never_dead`: nobody says any of `of` (all members if empty) is dead from `from_s` to `to_s`; - `one_table`:
+from `after_s` on, within `within_s`, every running member sees every running one alive and none that is
+down alive, and that holds to the end (or to `until_s`); - `refuted`: `of` refuted a rumour of its end, or
+came back with a higher incarnation; - those of leases are in judge_leases.py: `one_holder`, `tokens_grow`,
+`stale_refused`, `held_again`, `never_held`.
 
 `judge` gives a list of verdicts, each a dict with `ok`, the expectation, and what was measured.
 """
 
 import orjson
 
+from pinspread.fleet.loopback import judge_leases
+
 SECOND_US = 1_000_000
 DOWN = {"kill", "term", "wipe"}
 
@@ -142,6 +145,7 @@
 
 
 KINDS = {"dead": _dead, "never_dead": _never_dead, "one_table": _one_table, "refuted": _refuted}
+KINDS |= judge_leases.KINDS
 
 
 def judge(lines, expectations):
--- a/tests/test_cluster_wire.py
+++ b/tests/test_cluster_wire.py
@@ -18,7 +18,7 @@
     ("data", "key", "why"),
     [
         (b"", KEY, "shorter"),
-        (b"PSX" + wire.pack(PING, KEY)[3:], KEY, "not a membership"),
+        (b"PSX" + wire.pack(PING, KEY)[3:], KEY, "not a datagram"),
         (damaged(lambda d: d.__setitem__(3, 9)), KEY, "version 9"),
         (wire.pack(PING, KEY)[:-1], KEY, "length"),
         (damaged(lambda d: d.__setitem__(-1, d[-1] ^ 1)), KEY, "checksum"),
@@ -51,3 +51,20 @@
         data = bytearray(good[: rng.randrange(len(good))]) if n % 2 else bytearray(rng.randbytes(n % 90))
         with pytest.raises(wire.Dropped):
             wire.unpack(bytes(data), KEY)
+
+
+def test_a_leave_while_the_turns_go_on_breaks_no_socket():
+    import anyio
+
+    from pinspread.cluster import member, swim
+
+    async def play():
+        plan = member.Plan("a", "127.0.0.1:0", "127.0.0.1:9", (), KEY, swim.Tuning())
+        one = member.Membership(plan)
+        await one.open()
+        out = [("127.0.0.1:9", PING)] * 20
+        async with one.sock, anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(one._send, out, 0)  # the library refuses a second sender at a time
+
+    anyio.run(play)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -691,6 +691,11 @@
         [sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT
     ).stdout.split()
     heavy = ("numpy", "scipy", "matplotlib", "hdrh", "cryptography", "typer", "tqdm", "pinspread.fleet")
-    heavy += ("pinspread.cluster", "msgpack", "xxhash")  # membership only where a file turns it on
+    heavy += (
+        "pinspread.cluster",
+        "msgpack",
+        "xxhash",
+        "pysyncobj",
+    )  # membership only where a file turns it on
     assert "pinspread.core.courier" in loaded
     assert [name for name in loaded if name.startswith(heavy)] == []
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,4 +1,4 @@
-"""The lease decisions step by step, and the exhaustive check of them, which finds each part that is taken out."""
+"""The lease decisions step by step, and the exhaustive check, which finds each rule that is taken out."""
 
 import pytest
 
--- /dev/null
+++ b/tests/test_leases_stage.py
@@ -0,0 +1,185 @@
+"""Leases with real couriers and faults between them: one holder at a time, growing tokens."""
+
+import pytest
+
+from pinspread.cluster import leases, quorum, wire
+from pinspread.fleet.loopback import cast, judge, judge_leases
+
+pytestmark = pytest.mark.xdist_group("stage")
+FAST = {"period_s": 0.2, "timeout_s": 0.08}
+LEASES = {
+    "voters": 3,
+    "tasks": ["sweep", "list", "take"],
+    "act_s": 0.05,
+    "lease_s": 2.0,
+    "renew_s": 0.6,
+    "retry_s": 0.2,
+    "drift_s": 0.1,
+    "margin_s": 0.1,
+    "election_s": 0.3,
+}
+ALWAYS = [{"kind": "one_holder"}, {"kind": "tokens_grow"}]
+
+
+def play(tmp_path, at, expect=(), seconds=12, **more):
+    scene = {"members": 5, "seconds": seconds, "tuning": FAST, "leases": LEASES, "at": at} | more
+    found = cast.play(scene | {"expect": [*ALWAYS, *expect]}, tmp_path)
+    assert all(v["ok"] for v in found), found
+    return judge.read_scene(tmp_path / "history.jsonl")
+
+
+def test_the_leader_and_a_holder_are_killed_under_loss_and_strange_datagrams(tmp_path):
+    lines = play(
+        tmp_path,
+        [
+            {"s": 1, "do": "loss", "share": 0.2},
+            {"s": 1, "do": "duplicate", "share": 0.2},
+            {"s": 1, "do": "delay", "delay_s": 0.0, "jitter_s": 0.02},
+            {"s": 2, "do": "garbage", "port": cast.LEASES_PORT, "count": 30},
+            {"s": 2, "do": "stranger", "port": cast.LEASES_PORT, "count": 10},
+            {"s": 4, "do": "kill", "who": ["@leader"]},
+            {"s": 8, "do": "start"},
+            {"s": 9, "do": "kill", "who": ["@holder:sweep"]},
+        ],
+        [
+            {"kind": "held_again", "after_s": 4, "within_s": 5},
+            {"kind": "held_again", "after_s": 9, "within_s": 5},
+        ],
+        seconds=15,
+    )
+    assert sum(li.get("event") == "lease_dropped" for li in lines) >= 100
+    assert {li["task"] for li in judge_leases.acts(lines)} == set(LEASES["tasks"])
+
+
+def test_a_holder_that_is_stopped_past_its_lease_does_no_harm_and_members_clocks_may_drift(tmp_path):
+    late = ["m3", "m4"]  # started with clocks far off, one 4% fast and one 4% slow: within 0.1 s in 2 s
+    lines = play(
+        tmp_path,
+        [
+            {"s": 0, "do": "offset", "who": ["m3"], "ms": 900_000, "rate": 1.04},
+            {"s": 0, "do": "offset", "who": ["m4"], "ms": -100, "rate": 0.96},
+            {"s": 0, "do": "start", "who": late},
+            {"s": 4, "do": "pause", "who": ["@holder:sweep"]},
+            {"s": 9, "do": "resume"},
+            {"s": 11, "do": "pause", "who": ["@holder:list"]},
+            {"s": 15, "do": "resume"},
+        ],
+        [
+            {"kind": "held_again", "after_s": 4, "within_s": 5},
+            {"kind": "held_again", "after_s": 11, "within_s": 5},
+        ],
+        seconds=17,
+        late=late,
+    )
+    assert [g for g in judge_leases.gaps(lines) if g is not None]
+
+
+def test_the_minority_side_of_the_voters_holds_nothing_and_the_majority_goes_on(tmp_path):
+    play(
+        tmp_path,
+        [
+            {"s": 3, "do": "split", "groups": [["m0", "m3"], ["m1", "m2", "m4"]]},
+            {"s": 10, "do": "heal"},
+            {"s": 12, "do": "cut", "from": ["m1"], "to": ["m0", "m2"]},  # one way: heard, not hearing
+            {"s": 16, "do": "heal"},
+        ],
+        [
+            {"kind": "never_held", "of": ["m0", "m3"], "from_s": 3.5, "to_s": 10},
+            {"kind": "held_again", "after_s": 6, "within_s": 2},
+            {"kind": "held_again", "after_s": 16, "within_s": 4},
+        ],
+        seconds=20,
+    )
+
+
+def test_a_voter_without_its_folder_votes_only_once_it_has_caught_up(tmp_path):
+    lines = play(
+        tmp_path,
+        [
+            {"s": 3, "do": "wipe", "who": ["m1"]},
+            {"s": 4, "do": "kill", "who": ["m2"]},  # one of three is left: nobody may lead
+            {"s": 4, "do": "start", "who": ["m1"]},
+            {"s": 8, "do": "start", "who": ["m2"]},
+        ],
+        [{"kind": "held_again", "after_s": 8, "within_s": 5}],
+        seconds=14,
+    )
+    votes = [li for li in lines if li.get("event") == "quorum_votes" and li["who"] == "m1"]
+    assert [v["why"] for v in votes] == ["first start", "caught up"]
+    began = next(li["mono_us"] for li in lines if li.get("event") == "stage_began")
+    # m1 came back to m0 alone: had it voted, the two would have led, though what m2 alone knew could be lost
+    assert votes[1]["mono_us"] - began > 8_000_000
+    led = [li["mono_us"] - began for li in lines if li.get("event") == "quorum_leader" and li["leader"]]
+    assert not [us for us in led if 5_000_000 < us < 8_000_000]
+
+
+ASK = {"t": "lease", "kind": "ask", "task": "t", "member": "a", "token": 0, "number": 1, "at": "127.0.0.1:1"}
+
+
+@pytest.mark.parametrize(
+    ("change", "why"),
+    [
+        ({"t": "ping"}, "kind"),
+        ({"kind": "steal"}, "a request to"),
+        ({"token": "1"}, "'token'"),
+        ({"token": -1}, "out of range"),
+        ({"number": 1 << 63}, "out of range"),
+        ({"task": "x" * 65}, "out of range"),
+        ({"at": None}, "'at'"),
+        ({"t": "leased"}, "'why'"),
+    ],
+)
+def test_a_request_that_is_not_well_formed_is_dropped_with_a_reason(change, why):
+    assert leases.checked(ASK) == ASK
+    with pytest.raises(wire.Dropped, match=why):
+        leases.checked(ASK | change)
+
+
+class Evil:
+    def __reduce__(self):
+        return (print, ("called",))
+
+
+def test_a_message_of_voters_is_refused_if_it_is_not_well_formed_or_could_call_something():
+    import pickle
+
+    good = {"type": "append_entries", "term": 1, "commit_index": 1, "prevLogIdx": 1, "prevLogTerm": 0}
+    call = b"\0" + pickle.dumps((0, ("sweep", "grant", "m0", 0, 5)))
+    entries = [[call, 2, 1], [b"\1", 3, 1]]
+    assert quorum.checked(good | {"entries": entries})["entries"] == [(call, 2, 1), (b"\1", 3, 1)]
+    evil = b"\0" + pickle.dumps((0, (Evil(),)))
+    for bad, why in (
+        ({"type": "status"}, "message"),
+        (good | {"term": True}, "'term'"),
+        (good | {"prevLogTerm": None}, "goes before"),
+        ({"type": "append_entries", "term": 1, "commit_index": 1, "serialized": [1]}, "neither"),
+        (good | {"transmission": "start"}, "in parts"),
+        (good | {"entries": [[call, 2]]}, "not well-formed"),
+        (good | {"entries": [[evil, 2, 1]]}, "not plain"),
+        (good | {"entries": [[b"\2" + call, 2, 1]]}, "not plain"),
+        ({"type": "apply_command", "command": evil}, "not plain"),
+        ({"type": "apply_command", "command": b"\0garbage"}, "not plain"),
+    ):
+        with pytest.raises(wire.Dropped, match=why):
+            quorum.checked(bad)
+
+
+def test_the_judge_finds_two_holders_and_tokens_that_fall():
+    def line(us, who, event, **more):
+        return {"mono_us": us, "who": who, "event": event, **more}
+
+    lines = [
+        line(0, "stage", "stage_began"),
+        line(1, "m0", "lease_held", task="t", token=1, stops_us=100),
+        line(50, "m0", "lease_kept", task="t", token=1, stops_us=200),
+        line(150, "m1", "lease_held", task="t", token=3, stops_us=300),
+        line(160, "resource", "act", task="t", token=3, holder="m1", taken=True),
+        line(170, "resource", "act", task="t", token=1, holder="m0", taken=True),
+        line(900, "stage", "ending"),
+    ]
+    found = judge.judge(lines, ALWAYS)
+    assert [v["ok"] for v in found] == [False, False, True]
+    lines[5]["taken"] = False
+    lines.insert(3, line(149, "m0", "lease_lost", task="t", token=1))
+    assert [v["ok"] for v in judge.judge(lines, ALWAYS)] == [True, True, True]
+    assert judge.judge(lines, [{"kind": "stale_refused"}])[0]["ok"]
