Add the benchmark of copies under kills with wiped folders, and check [copies] in tests

Change: benchmarks/copies.py; the door tells bytes copied; config check's cases of [copies] have tests.

--- /dev/null
+++ b/benchmarks/copies.py
@@ -0,0 +1,117 @@
+"""Copies under load on the fault stage: `python benchmarks/copies.py [OUT] [TRIALS]` (about 11 s a trial).
+
+Five couriers with traffic; again and again one, drawn at random, is killed and its folder removed at a random
+moment, its work is taken over, and it is started again. Prints the ledger over all trials (lost, ended twice,
+payments twice, order broken: each has to be 0), and the time from the kill to the first message of the lost courier
+that goes on elsewhere. Then, for 0, 1 and 2 copies waited for, the time from handing in to +OK as callers see it,
+throughput, and bytes copied a message.
+"""
+
+import asyncio
+import random
+import sys
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from pinspread.cluster import show
+from pinspread.fleet.loopback import cast, judge, traffic
+
+LEASES = {"lease_s": 2.0, "renew_s": 0.6, "retry_s": 0.2, "drift_s": 0.1, "margin_s": 0.1, "election_s": 0.3}
+SCENE = {
+    "members": 5,
+    "seconds": 0,
+    "tuning": {"period_s": 0.2, "timeout_s": 0.08},
+    "leases": LEASES | {"voters": 3},
+}
+
+
+def spread(values, unit=1e3):
+    """Median, 99th percentile and most of microseconds, in ms or the unit given."""
+    histogram = HdrHistogram(1, 600_000_000, 3)
+    for v in values:
+        histogram.record_value(int(v))
+    if not histogram.get_total_count():
+        return "none"
+    at = histogram.get_value_at_percentile
+    return f"median {at(50) / unit:.2f}, p99 {at(99) / unit:.2f}, most {at(100) / unit:.2f} ({len(values)})"
+
+
+async def trials(folder, count, seed=1):
+    rng = random.Random(seed)
+    load = {"rate": 8.0, "slow_s": 0.8, "for_s": 11.0 * count + 4, "deadline_s": 20.0}
+    stage = cast.Stage(SCENE | {"copies": {"count": 2, "need": 1}, "traffic": load}, folder)
+    try:
+        await stage.begin()
+        await asyncio.sleep(3)
+        for n in range(count):
+            victim = rng.choice(stage.cast)
+            await asyncio.sleep(rng.uniform(0, 1))
+            await stage.act({"s": 0, "do": "wipe", "who": [victim.id]})
+            await asyncio.sleep(5)
+            await stage.act({"s": 0, "do": "start", "who": [victim.id]})
+            await asyncio.sleep(5)
+            print(f"  trial {n + 1}: {victim.id}", flush=True)
+        await asyncio.sleep(22)  # until the last message's time is up
+    finally:
+        await stage.hush()
+        await asyncio.to_thread(stage.finish)
+    return judge.read_scene(Path(folder) / "history.jsonl")
+
+
+def flowing(lines):
+    """Microseconds from each kill to the first branch elsewhere of a message that the lost courier took."""
+    found, owner = [], {}
+    for line in lines:
+        if line.get("event") == "taken":
+            owner.setdefault(line["id"], line["who"])
+    for line in lines:
+        if line.get("event") == "signalled" and line["do"] == "wipe":
+            after = [
+                li["mono_us"]
+                for li in lines
+                if li.get("event") == "branch"
+                and li["mono_us"] > line["mono_us"]
+                and owner.get(li["id"]) == line["who"] != li["who"]
+            ]
+            if after:
+                found.append(min(after) - line["mono_us"])
+    return found
+
+
+async def cost(folder, need):
+    """Latency and throughput of one courier's door, with so many copies waited for (0: no copies at all)."""
+    load = {"rate": 60.0, "slow_s": 0.02, "for_s": 8.0, "deadline_s": 10.0}
+    copies = {"copies": {"count": max(1, need), "need": need}} if need else {}
+    stage = cast.Stage(SCENE | copies | {"traffic": load}, folder)
+    try:
+        await stage.begin()
+        await asyncio.sleep(12)
+        views = [
+            await asyncio.to_thread(show.fetch, f"{c.real[0]}:9600", "copies") for c in stage.cast if need
+        ]
+    finally:
+        await stage.hush()
+        await asyncio.to_thread(stage.finish)
+    lines = judge.read_scene(Path(folder) / "history.jsonl")
+    took = [li["took_us"] for li in lines if li.get("event") == "acked"]
+    sent = sum(v["sent_bytes"] for v in views)
+    print(f"waiting for {need} copies: ms to +OK: {spread(took)}; {len(took) / 8:.0f} messages a second in all;"
+          f" {sent / max(1, len(took)):.0f} bytes copied a message")  # fmt: skip
+
+
+def main(out, count):
+    out = Path(out)
+    lines = asyncio.run(trials(out / "trials", count))
+    found = traffic.ledger(lines)
+    print("ledger:", {k: v if isinstance(v, int) else len(v) for k, v in found.items()})
+    print("seconds from the kill until work flows again:", spread(flowing(lines), 1e6))
+    print("taken over:", sum(li.get("event") == "copies_taken_over" for li in lines))
+    for need in (0, 1, 2):
+        asyncio.run(cost(out / f"cost{need}", need))
+    return 1 if any(found[k] for k in ("lost", "two_finals", "payments_twice", "disordered")) else 0
+
+
+if __name__ == "__main__":
+    words = sys.argv[1:]
+    sys.exit(main(words[0] if words else "found/copies", int(words[1]) if len(words) > 1 else 100))
--- a/pinspread/cluster/copying.py
+++ b/pinspread/cluster/copying.py
@@ -68,6 +68,7 @@
         self.taken = {}  # owner -> ids that were taken over; its lease is kept until they are over
         self.unsure = {}  # owner -> since when too few copies answer
         self.loud_us = 0
+        self.sent_bytes = 0  # of the journal, to all copies
 
     # --- what the core asks -------------------------------------------------------------------------
 
@@ -146,6 +147,7 @@
             for o, s in sorted(self.shelves.items())
         ]
         found = {"id": self.id, "generation": mark[0], "bytes": mark[1], "need": self.plan.need}
+        found["sent_bytes"] = self.sent_bytes
         return found | {"barred": self.barred(), "copies": mine, "keeps": kept}
 
     # --- running ------------------------------------------------------------------------------------
@@ -256,6 +258,7 @@
                 chunk = bytes(source.data[at : at + copies.MOST_DATA])
                 data = {"t": "data", "generation": generation, "base": source.base, "at": at, "bytes": chunk}
                 ack = await self._call(frames, tell | data)
+                self.sent_bytes += len(chunk)
                 wire.need(ack, {"generation": int, "size": int})
                 at = ack["size"]
                 source.held[target] = generation, at
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -18,6 +18,7 @@
 MEMBERS = '[members]\nid = "c1"\nlisten = "127.0.0.1:7946"\nfleet = "f"\n'
 VOTER = '[[leases.voter]]\nid = "c{0}"\naddress = "127.0.0.{0}:7947"\n'
 LEASES = '[leases]\nlisten = "127.0.0.1:7947"\nlease_s = 10\n' + "".join(map(VOTER.format, (1, 2, 3)))
+COPIES = '[copies]\nlisten = "127.0.0.1:7948"\n'
 LEASES += '[[leases.task]]\nname = "sweep"\n'
 
 ZONE = """$TTL 60
@@ -96,6 +97,9 @@
             MEMBERS + LEASES + '[[leases.task]]\nname = "sweep"\n[brokers]',
             ["leases.task[1].name"],
         ),
+        ("[brokers]", COPIES + "[brokers]", ["copies"]),  # without [leases]
+        ("[brokers]", MEMBERS + LEASES + COPIES + "need = 3\n[brokers]", ["copies.need"]),
+        ("[brokers]", MEMBERS + LEASES + COPIES.replace(":7948", ":7947") + "[brokers]", ["copies.listen"]),
         ("[brokers]", MEMBERS + LEASES.replace("task", "x") + "[brokers]", ["leases.x"]),
     ],
 )
