Test what pinspread leases and pinspread copies show

Need: the commands had no test of their text. Change: one test over both, on views as the door gives them.

--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -199,3 +199,27 @@
     assert "copies" in keeper.barred()
     monkeypatch.setattr(Held, "holds", lambda self, task: 0)
     assert "lease" in keeper.barred()
+
+
+def test_the_commands_show_leases_and_copies_as_aligned_text(keeper):
+    from pinspread.cluster import show
+
+    keeper.targets = ["a"]
+    keeper.source.rewritten(b"four", 9)
+    shown = show.LINES["copies"](keeper.view(), 0)
+    assert shown[0].startswith("k: 4 bytes, generation 9, 1 copies needed; ")
+    assert shown[2].split() == ["a", "no", "4"]
+    view = {"id": "k", "voter": True, "leader": "a", "term": 3, "tasks": [{"task": "t", "mine": 0}]}
+    view["tasks"].append(
+        {"task": "u", "mine": 7, "acts_for_ms": 1500, "holder": "k", "token": 7, "binds_for_ms": 2000}
+    )
+    shown = show.LINES["leases"](view, 0)
+    assert shown[0] == "k: a voter, leader a, term 3"
+    assert shown[2].split() == ["t", "-", "?", "?", "-"] and shown[3].split() == [
+        "u",
+        "k",
+        "7",
+        "2.0",
+        "7,",
+        "1.5",
+    ]
