--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -110,3 +110,37 @@
     assert found["whole"] and not found["violation"], found
     unfenced = modelcheck.explore(bounds, modelcheck.Rules(fenced=False), terms)
     assert unfenced["violation"] == "the resource took token 1 after 2", unfenced
+
+
+def test_the_stand_in_resource_refuses_an_older_token_and_what_is_no_act():
+    import asyncio
+
+    from pinspread.fleet.loopback.resource import Resource
+
+    said = []
+
+    class History:
+        def add(self, who, event, **fields):
+            said.append((fields["task"], fields["token"], fields["taken"]))
+
+    async def call(port, head):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head.encode() + b"\r\n\r\n")
+        answer = await reader.read(100)
+        writer.close()
+        return answer.split(b" ")[1].decode()
+
+    async def play():
+        resource = Resource(History(), ("127.0.0.1", 0))
+        await resource.open()
+        port = resource.server.sockets[0].getsockname()[1]
+        try:
+            heads = [f"POST /t HTTP/1.1\r\nHolder: a\r\nFencing-Token: {n}" for n in (5, 4, 5, 6)]
+            heads += ["POST /u HTTP/1.1\r\nFencing-Token: 1", "POST /t HTTP/1.1", "GET /t HTTP/1.1", "x"]
+            return [await call(port, head) for head in heads]
+        finally:
+            resource.close()
+
+    answers = asyncio.run(play())
+    assert answers == ["200", "409", "200", "200", "200", "400", "400", "400"]
+    assert said == [("t", 5, True), ("t", 4, False), ("t", 5, True), ("t", 6, True), ("u", 1, True)]
