--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -102,8 +102,11 @@
 
     def adopted(self, transaction: Transaction):
         """What another courier took on and this one takes over, with what is known of its branches."""
-        t, need = transaction, len(self._taken(transaction)) + SMALL
-        self._append(self._taken(t) + (_summary(t) if t.branches or t.may_run_us else b""))
+        t, record = transaction, self._taken(transaction)
+        need = len(record) + SMALL
+        if self.live_bytes + need > self.most_live:
+            raise JournalFull("what is owed fills the journal")
+        self._append(record + (_summary(t) if t.branches or t.may_run_us else b""))
         self._hold(t, need)
         if t.final:
             self.final(t, t.final)
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -126,6 +126,15 @@
     assert "id3" in journal.past and 3 not in journal.live
 
 
+def test_what_is_taken_over_stays_within_the_journals_room(tmp_path):
+    journal = Journal(str(tmp_path), 3000)
+    journal.open()
+    with pytest.raises(journals.JournalFull):
+        for n in range(1, 100):
+            journal.adopted(transaction(n))
+    assert 1 < len(journal.live) < 20 and journal.path.stat().st_size <= 1440
+
+
 class Held:
     def holds(self, task):
         return 5
