Wait for copies only before an OK, and test on sockets what waits for them

Cause: net/front.py asked `promised` before any answer of a caller leg, so while copies were missing a leg that had been told -BUSY, or had asked PING, was closed without its answer. Change: only answers that hold an OK wait. tests/test_waits.py: +OK, a branch's first byte, a notice and an AMQP confirm wait; without copies neither is promised nor sent, BUSY and PONG are told; what was taken over meanwhile gets no notice here.

--- a/pinspread/net/front.py
+++ b/pinspread/net/front.py
@@ -19,6 +19,7 @@
 MOST_ERRORS = 8  # malformed commands after which a caller leg is closed
 ERROR_S = 0.02  # rest of a leg after each, and longer from one to the next
 MOST_PING = 1024
+TAKEN = b"+OK\r\n"
 
 
 class RespFront:
@@ -71,7 +72,7 @@
                     answers = bytearray()
                     follow, need, wrong = self._commands(connection, leg, buffer, answers)
                     if answers:
-                        if not await self.courier.promised():
+                        if TAKEN in answers and not await self.courier.promised():
                             # Danger: BUSY would say that nothing was taken on, OK that it is safe; neither is
                             # known. A client that hears nothing hands the same id in again.
                             await connection.part()
@@ -177,7 +178,7 @@
                 front=NAME,
             )
         )
-        return b"+OK\r\n"
+        return TAKEN
 
     async def notify(self, transaction, final):
         """Have the platform told, and return when it has answered."""
--- /dev/null
+++ b/tests/test_waits.py
@@ -0,0 +1,103 @@
+"""What a promise waits for where copies are kept, on both fronts and towards next hops, on real sockets."""
+
+import anyio
+import pytest
+from pamqp import commands
+from standins import AmqpClient, Client, HttpStandIn, courier, standing, until
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Copies:
+    """Copies that a test holds back."""
+
+    def __init__(self):
+        self.why, self.open, self.ok = "", anyio.Event(), True
+        self.waited = 0
+
+    def barred(self):
+        return self.why
+
+    async def settled(self):
+        self.waited += 1
+        await self.open.wait()
+        return self.ok
+
+
+async def test_ok_waits_for_copies_and_so_does_the_first_byte_of_a_branch(tmp_path):
+    partner = HttpStandIn()
+    async with standing(partner) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        copies = rig.courier.copies = Copies()
+        said = []
+        async with anyio.create_task_group() as tasks:
+
+            async def hand_in():
+                said.append(await Client(rig.address).enqueue())
+
+            tasks.start_soon(hand_in)
+            await until(lambda: copies.waited >= 2)  # the answer, and the branch
+            await anyio.sleep(0.1)
+            assert said == [] and partner.requests == []
+            (held,) = rig.courier.journal.live.values()
+            assert held.live_us  # the copies hear of the branch before the partner does
+            copies.open.set()
+        assert said == ["+OK\r\n"]
+        await until(lambda: len(partner.requests) == 1)
+        await until(lambda: not rig.courier.ids)
+
+
+async def test_what_is_not_copied_is_neither_promised_nor_sent(tmp_path):
+    partner = HttpStandIn()
+    async with standing(partner) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        copies = rig.courier.copies = Copies()
+        copies.ok = False
+        copies.open.set()
+        with pytest.raises(anyio.EndOfStream):
+            await Client(rig.address).enqueue(id_="a")  # closed: neither answer would be true
+        assert partner.requests == []
+        copies.why = "too few copies"
+        assert (await Client(rig.address).enqueue(id_="b")).startswith("-BUSY ")
+        assert (await Client(rig.address).enqueue(id_="a")).startswith("-BUSY ")  # known, but not promised
+        assert await Client(rig.address).say("PING") == "+PONG\r\n"
+        assert "b" not in rig.courier.ids and partner.requests == []
+
+
+async def test_a_notice_waits_for_copies_and_what_was_taken_over_meanwhile_has_none(tmp_path):
+    platform = HttpStandIn(lambda request: (204, [], b""))
+    async with standing(platform) as heard, courier(tmp_path, platform=heard) as rig:
+        copies = rig.courier.copies = Copies()
+        copies.open.set()
+        client = Client(rig.address)
+        for id_ in ("kept", "gone"):
+            assert await client.enqueue(id_=id_, for_ms=400) == "+OK\r\n"
+        copies.why = "the lease of its own work is lost"
+        await until(lambda: all(t.final for t in rig.courier.ids.values()))
+        await anyio.sleep(0.1)
+        assert platform.requests == []
+        assert rig.courier.disown({"gone"}) == 1
+        copies.why = ""
+        await until(lambda: platform.lines)
+        await anyio.sleep(0.1)
+        assert [line["id"] for line in platform.lines] == ["kept"]
+        assert set(rig.courier.journal.past) >= {"gone"} and not rig.courier.ids
+
+
+async def test_a_confirm_waits_for_copies_and_never_comes_without_them(tmp_path):
+    async with courier(tmp_path) as rig:
+        copies = rig.courier.copies = Copies()
+        client = await AmqpClient.open(rig.amqp)
+        await client.publish("m1")
+        with pytest.raises(TimeoutError), anyio.fail_after(0.2):
+            await client.next()
+        copies.open.set()
+        method, _, _ = await client.next()
+        assert isinstance(method, commands.Basic.Ack) and method.delivery_tag == 1
+        copies.ok = False
+        await client.publish("m2")
+        with pytest.raises(TimeoutError), anyio.fail_after(0.2):
+            await client.next()
