Take over who left or is unknown, keep copying to the end of SIGTERM, tell lags, let old copies go

The history shows the lease held by m2 for 4.4 s with no word. (1) An owner told its keepers whom it copies to only at each check (30 s): m2 still said [m2, m1] 26 s after the owner had chosen [m4, m2]. (2) copying.whole_ones dropped a keeper that answered that it holds nothing (m1 was wiped), so copies.enough waited patience_s for an answer that it had. (1) is a hole too: a keeper that was not told would make a successor sure too soon.

Change: copies.absent; leases._known knows granted rows; work.ID and copying last until the drain has ended (Service._leave, Companion.part); a start that waits hears SIGTERM (Service._before_recovery); lag in records, bytes and ms; `spare` asks the owner before a copy goes; `sync` (fdatasync in a thread); keepers are told at once, and count only once told; a keeper without a copy counts as answered; `copies_awaited` says so. The stage's `start` waits for the end of a courier that was told to end; the ledger finds a key's earlier message delivered again behind its next, and counts ends that came late; the benchmark's flow counts only kills after which something was taken over.

Six stage tests of copies pass (104 s, two at a time); without the unknown, the granted rows, the SIGTERM or the letting go, the test for each fails.

--- a/pinspread/cluster/copies.py
+++ b/pinspread/cluster/copies.py
@@ -4,10 +4,15 @@
 (the *base*) holds all that is owed. Places are offsets in bytes.
 """
 
+from array import array
+from bisect import bisect_right
 from dataclasses import dataclass, field
 
 import xxhash
 
+from pinspread.cluster.swim import DEAD, LEFT
+from pinspread.core import journal
+
 RANGE = 64 * 1024  # bytes that are compared by one sum
 MOST_DATA = 256 * 1024  # bytes in one message
 
@@ -36,14 +41,24 @@
     data: bytearray = field(default_factory=bytearray)
     base: int = 0
     held: dict = field(default_factory=dict)  # keeper -> (generation, place) that it has on its disk
+    ends: array = field(default_factory=lambda: array("Q"))  # where each record ends
+    times: array = field(default_factory=lambda: array("Q"))  # and when it was written, microseconds
 
-    def rewritten(self, data: bytes, generation: int):
+    def rewritten(self, data: bytes, generation: int, now_us: int = 0):
         """The journal was written anew."""
         self.generation = max(generation, self.generation + 1)
-        self.data, self.base = bytearray(data), len(data)
-
-    def appended(self, record: bytes):
-        self.data += record
+        self.data, self.base = bytearray(), len(data)
+        self.ends, self.times = array("Q"), array("Q")
+        self.appended(data, now_us)
+
+    def appended(self, data: bytes, now_us: int = 0):
+        """One record, or several."""
+        at = len(self.data)
+        self.data += data
+        for payload in journal.records(data):
+            at += journal.HEAD_BYTES + len(payload)
+            self.ends.append(at)
+            self.times.append(now_us)
 
     def mark(self) -> tuple[int, int]:
         """The place that all up to now ends at."""
@@ -60,10 +75,18 @@
         """Whether enough of the keepers hold all up to a mark."""
         return sum(self.has(k, mark) for k in keepers) >= self.need
 
-    def behind(self, keeper: str) -> int:
-        """Bytes that a copy lacks."""
+    def behind(self, keeper: str, now_us: int = 0) -> tuple[int, int, int]:
+        """What a copy lacks: records, bytes, and microseconds since the first of them was written."""
         generation, place = self.held.get(keeper, (0, 0))
-        return len(self.data) - (place if generation == self.generation else 0)
+        place = place if generation == self.generation else 0
+        first = bisect_right(self.ends, place)
+        records = len(self.ends) - first
+        return records, len(self.data) - place, now_us - self.times[first] if records else 0
+
+    def spared(self, keeper: str, keepers) -> bool:
+        """Whether a member may let its copy go: it is no keeper any more, and all that are hold all."""
+        whole = bool(keepers) and all(self.has(k, self.mark()) for k in keepers)
+        return whole and keeper not in keepers
 
     def resume_at(self, generation: int, size: int, theirs: list[int]) -> int:
         """From where to send to a copy that says what it has."""
@@ -130,15 +153,26 @@
         return True
 
 
+def absent(state: str, for_us: int, absent_us: int) -> bool:
+    """Whether an owner's work is due for another; `state` is empty if membership knows nothing of it.
+
+    Danger: a member that starts hears of no death before its start. Were the unknown no case, what a lost
+    courier promised would stay with keepers that were restarted after it.
+    """
+    return state == DEAD or (state in ("", LEFT) and for_us >= absent_us)
+
+
 def best(found: list) -> object:
-    """Of (generation, data, ...) the newest generation's longest; None of none."""
-    return max(found, key=lambda f: (f[0], len(f[1])), default=None)
+    """Of (generation, data, ...) the newest generation's longest; None of none. 0 holds nothing."""
+    return max((f for f in found if f[0]), key=lambda f: (f[0], len(f[1])), default=None)
 
 
-def enough(answered, keepers, count: int, need: int) -> bool:
-    """Whether what was promised must be among the copies that answered.
+def enough(answered, chosen, count: int, need: int) -> bool:
+    """Whether what was promised must be among the copies that answered, with nothing among them.
 
     A promise is on `need` of the `count` keepers, so `count - need + 1` of them have one that holds it.
+    `chosen`: the owner's keepers as each copy was told, which differ while the owner changes them.
     """
-    keepers = list(keepers)
-    return len(set(answered) & set(keepers)) >= max(1, min(count, len(keepers)) - need + 1)
+    return bool(chosen) and all(
+        len(set(answered) & set(keepers)) >= max(1, min(count, len(keepers)) - need + 1) for keepers in chosen
+    )
--- a/pinspread/cluster/copying.py
+++ b/pinspread/cluster/copying.py
@@ -27,6 +27,7 @@
 AGAIN_S = 0.2
 WATCH_S = 0.2  # how often the live members are looked at
 JOIN_S = 2.0  # how long a start waits for other members before it takes itself for the first
+PART_S = 0.1  # what the last records may take of the 3.7 s of SIGTERM
 GENERATION = "copies.generation"
 
 
@@ -43,6 +44,8 @@
     check_us: int = 30_000_000
     stagger_us: int = 500_000  # between those who may take over
     patience_us: int = 10_000_000  # for copies that would have to answer
+    absent_us: int = 60_000_000  # until who left, or is not known any more, counts as lost
+    sync: bool = False  # what is acknowledged is on the keeper's disk, not just written
 
 
 class Copies:
@@ -57,13 +60,16 @@
         self.folder = Path(plan.folder)
         self.source = copies.Source(plan.need)
         self.targets = []
+        self.told = {}  # target -> the targets that it was last told of
         self.streams = set()  # targets that are connected and up to date once
         self.scopes = {}  # target -> cancel scope of its feeder
         self.shelves = {}
         self.news = anyio.Event()  # a copy has acknowledged something
         self.more = anyio.Event()  # the journal has grown
         self.courier = self.listener = None
-        self.since = {}  # dead owner -> when it was first seen to be
+        self.since = {}  # owner whose work is due for another -> since when
+        self.away = {}  # owner that left or is unknown -> since when
+        self.spare = {}  # live owner that has chosen others -> when it is asked next whether its copy may go
         self.sure = 0  # the token under which it is known what of this courier's work others have taken over
         self.taken = {}  # owner -> ids that were taken over; its lease is kept until they are over
         self.unsure = {}  # owner -> since when too few copies answer
@@ -93,7 +99,7 @@
         """Wait until all that the journal holds by now is on enough copies; whether it is."""
         mark = self.source.mark()
         with anyio.move_on_after(self.plan.ack_us / 1e6):
-            while not self.source.copied(self.targets, mark):
+            while not self.source.copied(self._aware(), mark):
                 await self.news.wait()
             return True
         if self.plan.alone:
@@ -109,33 +115,42 @@
         log(
             "copies_late",
             id=self.id,
-            behind={t: self.source.behind(t) for t in self.targets},
+            behind={t: self.source.behind(t, machine_us()) for t in self.targets},
             mono_us=machine_us(),
         )
         return False
 
+    def _aware(self):
+        """The targets that know who else is one."""
+        # Danger: one that does not know would make a successor sure too soon that it has all there is.
+        return [t for t in self.targets if self.told.get(t) == self.targets]
+
     def appended(self, record):
         """The journal's tap."""
-        self.source.appended(record)
+        self.source.appended(record, machine_us())
         self._grown()
 
     def rewritten(self, data):
         """Likewise."""
-        self.source.rewritten(data, machine_unix_us())
+        self.source.rewritten(data, machine_unix_us(), machine_us())
         (self.courier.journal.path.parent / GENERATION).write_text(str(self.source.generation))
         self._grown()
 
+    def _heard(self):
+        self.news.set()
+        self.news = anyio.Event()
+
     def _grown(self):
         self.more.set()
         self.more = anyio.Event()
 
     def view(self) -> dict:
         """For the door: this courier's copies and what it keeps of others."""
-        mark = self.source.mark()
-        mine = [
-            {"at": t, "connected": t in self.streams, "behind_bytes": self.source.behind(t)}
-            for t in self.targets
-        ]
+        mark, now, mine = self.source.mark(), machine_us(), []
+        for t in self.targets:
+            records, bytes_, us = self.source.behind(t, now)
+            lag = {"behind_records": records, "behind_bytes": bytes_, "behind_ms": us // 1000}
+            mine.append({"at": t, "connected": t in self.streams} | lag)
         kept = [
             {
                 "owner": o,
@@ -147,7 +162,7 @@
             for o, s in sorted(self.shelves.items())
         ]
         found = {"id": self.id, "generation": mark[0], "bytes": mark[1], "need": self.plan.need}
-        found["sent_bytes"] = self.sent_bytes
+        found |= {"records": len(self.source.ends), "sent_bytes": self.sent_bytes}
         return found | {"barred": self.barred(), "copies": mine, "keeps": kept}
 
     # --- running ------------------------------------------------------------------------------------
@@ -172,7 +187,15 @@
                 await anyio.sleep(WATCH_S)
 
     async def leave(self):
-        """Nothing to say: what is left over is copied while the core comes to its end."""
+        """Nothing to say: what is out still ends, and that is copied."""
+
+    async def part(self):
+        """All that was out has ended: have it copied, then give the work back."""
+        if self.leases.holds(WORK + self.id):
+            with anyio.move_on_after(PART_S):
+                await self.settled()
+            await self.leases.unwant(WORK + self.id)
+            await self.leases.settle()
 
     def _live(self):
         m = self.membership.member
@@ -183,10 +206,12 @@
         if wanted == self.targets:
             return
         self.targets = wanted
+        self._grown()  # those that stay are told of it
         log("copies_at", id=self.id, keepers=wanted, mono_us=machine_us())
         for gone in [t for t in self.scopes if t not in wanted]:
             self.scopes.pop(gone).cancel()
             self.streams.discard(gone)
+            self.told.pop(gone, None)
             self.source.held.pop(gone, None)
         for target in wanted:
             if target not in self.scopes:
@@ -220,6 +245,7 @@
                 except wire.Dropped as why:
                     log("copies_refused", id=self.id, by=target, why=str(why), mono_us=machine_us())
                 self.streams.discard(target)
+                self.told.pop(target, None)
                 await anyio.sleep(AGAIN_S)
 
     async def _call(self, frames, message):
@@ -235,9 +261,12 @@
         source, tell = self.source, {"from": self.id, "to": target, "owner": self.id, "token": token}
         checked_us = 0
         while True:
-            if machine_us() - checked_us > self.plan.check_us or not checked_us:
-                checked_us = machine_us()
-                have = await self._call(frames, tell | {"t": "send", "keepers": self.targets})
+            due = machine_us() - checked_us > self.plan.check_us
+            if due or not checked_us or self.told.get(target) != self.targets:
+                checked_us, keepers = machine_us(), self.targets
+                have = await self._call(frames, tell | {"t": "send", "keepers": keepers})
+                self.told[target] = keepers
+                self._heard()
                 wire.need(have, {"generation": int, "size": int, "sums": list})
                 generation, at = (
                     source.generation,
@@ -262,8 +291,7 @@
                 wire.need(ack, {"generation": int, "size": int})
                 at = ack["size"]
                 source.held[target] = generation, at
-                self.news.set()
-                self.news = anyio.Event()
+                self._heard()
                 continue
             self.streams.add(target)
             with anyio.move_on_after(min(1.0, self.plan.check_us / 1e6)):
@@ -350,7 +378,7 @@
     async def _ask(self, member, message):
         """One question to one member; its answer, or None."""
         if member == self.id:
-            return self._answer(message | {"from": self.id, "to": self.id})
+            return await self._answer(message | {"from": self.id, "to": self.id})
         try:
             stream, frames = await self._dial(member)
             async with stream:
@@ -399,13 +427,13 @@
             async with stream:
                 while True:
                     message = await frames.get()
-                    await frames.put(self._answer(message))
+                    await frames.put(await self._answer(message))
         except wire.Dropped as why:
             log("copies_refused", id=self.id, why=str(why), mono_us=machine_us())
         except GONE:
             pass
 
-    def _answer(self, message) -> dict:
+    async def _answer(self, message) -> dict:
         """What a keeper makes of a message; Dropped if it is not well-formed."""
         kind = message.get("t")
         if kind not in NEEDS:
@@ -425,7 +453,11 @@
             why = "a figure below 0"
         else:
             try:
-                return getattr(self, f"_on_{kind}")(owner, message)
+                if kind == "spare":
+                    return self._on_spare(owner, message)
+                shelf = self._shelf(owner)
+                async with shelf.lock:  # in the order that they came, also while the disk is slow
+                    return await getattr(self, f"_on_{kind}")(shelf, message)
             except OSError as error:
                 why = f"disk: {error}"
         log("copies_refused", id=self.id, source=sender, owner=owner, why=why, mono_us=machine_us())
@@ -440,52 +472,73 @@
         log("copies_refused", id=self.id, owner=owner, why=why, mono_us=machine_us())
         return {"t": "no", "why": why}
 
-    def _on_send(self, owner, message):
-        shelf = self._shelf(owner)
+    async def _on_send(self, shelf, message):
         if why := shelf.kept.greet(message["token"]):
-            return self._no(owner, why)
+            return self._no(shelf.kept.owner, why)
         shelf.kept.keepers = [str(k) for k in message["keepers"]]
         shelf.save()
         data = shelf.data()
-        return {
-            "t": "have",
-            "generation": shelf.kept.generation,
-            "size": len(data),
-            "sums": copies.sums(data),
-        }
-
-    def _on_data(self, owner, message):
-        shelf = self._shelf(owner)
+        have = {"t": "have", "generation": shelf.kept.generation, "size": len(data)}
+        return have | {"sums": copies.sums(data)}
+
+    async def _on_data(self, shelf, message):
         generation, at, data = message["generation"], message["at"], message["bytes"]
         where = shelf.kept.place(message["token"], generation, message["base"], at, len(data))
         if where not in ("old", "new"):
-            return self._no(owner, where)
-        shelf.write(where, at, data)
+            return self._no(shelf.kept.owner, where)
+        if self.plan.sync:
+            # Danger: a disk that is slow to sync would hold up this member's word that it lives.
+            await anyio.to_thread.run_sync(shelf.write, where, at, data, True)
+        else:
+            shelf.write(where, at, data)
         return {"t": "ack", "generation": generation, "size": at + len(data)}
 
-    def _on_fetch(self, owner, message):
-        shelf = self._shelf(owner)
+    async def _on_fetch(self, shelf, message):
         if why := shelf.kept.fence(message["token"], message["from"]):
-            return self._no(owner, why)
+            return self._no(shelf.kept.owner, why)
         shelf.save()
         return self._copy(shelf)
 
-    def _on_read(self, owner, message):
-        return self._copy(self._shelf(owner))
+    async def _on_read(self, shelf, message):
+        return self._copy(shelf)
 
     def _copy(self, shelf):
         kept = shelf.kept
         found = {"t": "copy", "generation": kept.generation, "bytes": shelf.data(), "keepers": kept.keepers}
         return found | {"tried": kept.tried, "adopted": kept.adopted}
 
-    def _on_done(self, owner, message):
-        shelf = self._shelf(owner)
+    async def _on_done(self, shelf, message):
         if message["token"] < shelf.kept.token:
-            return self._no(owner, f"fenced: token {message['token']}, newer is {shelf.kept.token}")
+            return self._no(
+                shelf.kept.owner, f"fenced: token {message['token']}, newer is {shelf.kept.token}"
+            )
         shelf.kept.adopted = message["token"]
         shelf.save()
         return {"t": "ack", "generation": shelf.kept.generation, "size": shelf.kept.size}
 
+    def _on_spare(self, owner, message):
+        """A member that this courier chose once asks whether its copy may go."""
+        if owner != self.id or self.barred() or not self.source.spared(message["from"], self.targets):
+            return {"t": "no", "why": "not yet"}
+        return {"t": "ack"}
+
+    async def _let_go(self, owner):
+        """Ask a live owner that has chosen others whether its copy may go."""
+        chosen = placement.keepers(owner, [*self._live(), self.id], self.plan.count)
+        if self.id in chosen or not self.shelves[owner].kept.generation:
+            self.spare.pop(owner, None)
+            return
+        ask_us = self.spare.setdefault(owner, machine_us() + self.plan.check_us)
+        if machine_us() < ask_us:
+            return
+        self.spare[owner] = machine_us() + self.plan.check_us
+        answer = await self._ask(owner, {"t": "spare", "owner": owner})
+        if answer and answer["t"] == "ack":
+            shelf = self.shelves[owner]
+            async with shelf.lock:
+                shelf.clear()
+            log("copies_let_go", id=self.id, owner=owner, mono_us=machine_us())
+
     # --- the successor ------------------------------------------------------------------------------
 
     async def _watch(self):
@@ -497,10 +550,16 @@
             table = self.membership.member.table
             for owner in list(self.shelves):
                 node, kept = table.get(owner), self.shelves[owner].kept
-                dead = node is not None and node.state == swim.DEAD and owner != self.id
+                state = node.state if node else ""
+                if state in (swim.ALIVE, swim.SUSPECT):
+                    self.away.pop(owner, None)
+                    if state == swim.ALIVE and owner != self.id:
+                        await self._let_go(owner)
+                away_us = machine_us() - self.away.setdefault(owner, machine_us())
+                lost = owner != self.id and copies.absent(state, away_us, self.plan.absent_us)
                 # Danger: the owner would send its next message of a key before this courier's last.
                 open_here = self.taken.get(owner, set()) & self.courier.ids.keys()
-                if not dead or not kept.generation or kept.adopted:
+                if not lost or not kept.generation or kept.adopted:
                     self.since.pop(owner, None)
                     self.unsure.pop(owner, None)
                     if owner != self.id and not open_here:
@@ -529,19 +588,23 @@
         best = copies.best([(f["generation"], f["bytes"]) for f in found.values()])
         if best is None:
             return
-        keepers = next(f["keepers"] for f in found.values() if (f["generation"], f["bytes"]) == best)
+        keepers = [f["keepers"] for f in found.values() if f["generation"] == best[0]]
+        # Danger: a keeper that the owner has chosen anew may not answer, and hold what the others lack.
         if not copies.enough(found, keepers, self.plan.count, self.plan.need):
-            since = self.unsure.setdefault(owner, machine_us())
-            if machine_us() - since < self.plan.patience_us:
+            first = owner not in self.unsure
+            waited_us = machine_us() - self.unsure.setdefault(owner, machine_us())
+            late = waited_us >= self.plan.patience_us
+            if first or late:
+                log(
+                    "copies_unsure" if late else "copies_awaited",
+                    id=self.id,
+                    owner=owner,
+                    answered=sorted(found),
+                    of=keepers,
+                    mono_us=machine_us(),
+                )
+            if not late:
                 return
-            log(
-                "copies_unsure",
-                id=self.id,
-                owner=owner,
-                answered=sorted(found),
-                of=keepers,
-                mono_us=machine_us(),
-            )
         if any(f["adopted"] and f["generation"] == best[0] for f in found.values()):
             self.shelves[owner].kept.adopted = token
             self.shelves[owner].save()
@@ -575,6 +638,7 @@
     "fetch": {"token": int},
     "read": {},
     "done": {"token": int},
+    "spare": {},
 }
 
 
@@ -584,12 +648,8 @@
 
 
 def whole_ones(found: dict) -> dict:
-    """Those answers that hold anything, each up to its last whole record."""
-    cut = {
-        m: f | {"bytes": f["bytes"][: journals.whole(f["bytes"])]}
-        for m, f in found.items()
-        if f["generation"]
-    }
+    """Those answers, each up to its last whole record."""
+    cut = {m: f | {"bytes": f["bytes"][: journals.whole(f["bytes"])]} for m, f in found.items()}
     for m, f in cut.items():
         if len(f["bytes"]) < len(found[m]["bytes"]):
             log(
--- a/pinspread/cluster/leases.py
+++ b/pinspread/cluster/leases.py
@@ -102,6 +102,9 @@
     async def before_recovery(self):
         """Nothing that is owed depends on it."""
 
+    async def part(self):
+        """Likewise."""
+
     def want(self, task: str):
         """Contend for a task beside those of the file: the work of a member, `work.ID`."""
         self.claims.setdefault(task, lease.Claim())
@@ -112,13 +115,16 @@
         _, request = lease.give_up(claim or lease.Claim(), task, self.id, self._number())
         if request:
             self._note("lease_given_back", task, claim.token)
-            for voter in self.asked:
-                await self._ask(voter, request)
+            with anyio.move_on_after(GIVE_S):
+                for voter in self.asked:
+                    await self._ask(voter, request)
 
     def _known(self, task):
         if any(task == t.name for t in self.plan.tasks):
             return True
-        return task.startswith(WORK) and task.removeprefix(WORK) in self.membership.member.table
+        # Danger: a voter that was started again hears nothing of who was lost before, whose work goes on.
+        granted = self.quorum is not None and task in self.quorum.table.rows
+        return task.startswith(WORK) and (granted or task.removeprefix(WORK) in self.membership.member.table)
 
     # --- running --------------------------------------------------------------------------------------
 
@@ -156,17 +162,16 @@
                 await anyio.sleep(TURN_S)
 
     async def leave(self):
-        """Give back what is held, as SIGTERM asks."""
+        """Give back what is held, as SIGTERM asks; this courier's own work is given back by who copies it."""
         if self.sock is None:
             return
-        for name, claim in self.claims.items():
-            self.claims[name], request = lease.give_up(claim, name, self.id, self._number())
-            if request:
-                self._note("lease_given_back", name, claim.token)
-                with anyio.move_on_after(GIVE_S):
-                    for voter in self.asked:
-                        await self._ask(voter, request)
-        await anyio.sleep(GIVE_S if self.quorum and self.quorum.is_leader() else 0)  # for its own entries
+        for name in [n for n in self.claims if n != WORK + self.id]:
+            await self.unwant(name)
+        await self.settle()
+
+    async def settle(self):
+        """Let entries that this voter leads, and that it proposed itself, be agreed on before its end."""
+        await anyio.sleep(GIVE_S if self.quorum and self.quorum.is_leader() else 0)
 
     def _note(self, event, task, token, **more):
         log(event, seer=self.id, task=task, token=token, mono_us=machine_us(), **more)
@@ -317,9 +322,7 @@
                 with anyio.fail_after(ACT_S):
                     await self._act(task)
             except (OSError, TimeoutError, ValueError, anyio.EndOfStream, anyio.BrokenResourceError) as error:
-                self._note(
-                    "lease_act_failed", task.name, self.claims[task.name].token, error=repr(error)[:200]
-                )
+                self._note("lease_act_failed", task.name, self.holds(task.name), error=repr(error)[:200])
 
     async def _act(self, task):
         host, port = split_address(task.address)
@@ -340,7 +343,7 @@
             token,
             status=status[0].decode("ascii", "replace") if status else "",
         )
-        if status == [b"409"] and self.claims[task.name].token == token:
+        if status == [b"409"] and self.holds(task.name) == token:
             # A newer token was seen: somebody else holds it by now, whatever our clock says.
             self.claims[task.name] = lease.Claim(next_us=self.now() + self.plan.terms.retry_us)
             self._note("lease_lost", task.name, token, why="the resource has seen a newer token")
--- a/pinspread/cluster/member.py
+++ b/pinspread/cluster/member.py
@@ -66,6 +66,9 @@
     async def before_recovery(self):
         """Nothing that is owed depends on it."""
 
+    async def part(self):
+        """Likewise."""
+
     def view(self) -> dict:
         """The table and this member's health."""
         m = self.member
--- a/pinspread/cluster/shelf.py
+++ b/pinspread/cluster/shelf.py
@@ -4,6 +4,7 @@
 from dataclasses import asdict
 from pathlib import Path
 
+import anyio
 import orjson
 
 from pinspread.cluster import copies
@@ -19,6 +20,7 @@
         self.folder = folder / owner
         self.folder.mkdir(parents=True, exist_ok=True)
         self.kept = copies.Kept(owner)
+        self.lock = anyio.Lock()  # whoever decides by `kept` and writes
         try:
             for name, value in orjson.loads((self.folder / "meta").read_bytes()).items():
                 setattr(self.kept, name, value)
@@ -45,7 +47,15 @@
         path = self._path(self.kept.generation)
         return path.read_bytes() if path.exists() else b""
 
-    def write(self, where: str, at: int, data: bytes):
+    def clear(self):
+        """Let the bytes go; what is known of tokens stays."""
+        for path in [*self.folder.glob("journal.*"), *self.folder.glob("coming")]:
+            path.unlink()
+        kept = self.kept
+        kept.generation = kept.size = kept.coming = kept.coming_size = kept.coming_base = 0
+        self.save()
+
+    def write(self, where: str, at: int, data: bytes, sync: bool = False):
         """Put bytes at a place of the old or the new file, and cut what is behind them."""
         path = self.folder / "coming" if where == "new" else self._path(self.kept.generation)
         fd = os.open(path, os.O_CREAT | os.O_WRONLY, 0o600)
@@ -54,10 +64,23 @@
             while data:
                 done = os.pwrite(fd, data, at)
                 data, at = data[done:], at + done
+            if sync:
+                os.fdatasync(fd)
         finally:
             os.close(fd)
         before = self.kept.generation
         if where == "new" and self.kept.whole():
             os.replace(path, self._path(self.kept.generation))
             self.save()
+            if sync:
+                _sync_folder(self.folder)
             self._path(before).unlink(missing_ok=True)
+
+
+def _sync_folder(folder):
+    """Have the names of its files on the disk."""
+    fd = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
--- a/pinspread/cluster/show.py
+++ b/pinspread/cluster/show.py
@@ -54,11 +54,12 @@
 
 def copies(view: dict, now_us: int) -> list[str]:
     """What this courier's own copies lack, and what it keeps of others."""
-    head = (
-        f"{view['id']}: {view['bytes']} bytes, generation {view['generation']}, {view['need']} copies needed"
-    )
-    rows = [("copy at", "connected", "behind bytes")]
-    rows += [(c["at"], "yes" if c["connected"] else "no", str(c["behind_bytes"])) for c in view["copies"]]
+    head = f"{view['id']}: {view['records']} records, {view['bytes']} bytes, generation {view['generation']}"
+    head += f", {view['need']} copies needed"
+    rows = [("copy at", "connected", "behind: records", "bytes", "ms")]
+    for c in view["copies"]:
+        behind = (str(c[f"behind_{what}"]) for what in ("records", "bytes", "ms"))
+        rows.append((c["at"], "yes" if c["connected"] else "no", *behind))
     kept = [("keeps of", "bytes", "records", "taken over")]
     for k in view["keeps"]:
         kept.append((k["owner"], str(k["bytes"]), str(k["records"]), "yes" if k["adopted"] else "no"))
--- a/pinspread/config/application.py
+++ b/pinspread/config/application.py
@@ -198,6 +198,8 @@
     check_s: Annotated[float, Field(ge=0.5, le=86_400)] = 30.0
     stagger_s: Annotated[float, Field(ge=0, le=600)] = 0.5
     patience_s: Annotated[float, Field(ge=0, le=3600)] = 10.0
+    absent_s: Annotated[float, Field(ge=1, le=864_000)] = 60.0
+    sync: bool = False
 
     def plan(self, folder):
         """What `pinspread.cluster.copying` runs by; what lasts goes below `folder`."""
@@ -214,6 +216,8 @@
             int(self.check_s * us),
             int(self.stagger_s * us),
             int(self.patience_s * us),
+            int(self.absent_s * us),
+            self.sync,
         )
 
 
--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -15,6 +15,7 @@
 from pinspread.interface import Effect, Group, TrafficClass
 
 _HEAD = struct.Struct("<II")
+HEAD_BYTES = _HEAD.size
 _NUMBER = struct.Struct("<BQ")
 _BRANCH = struct.Struct("<BQBQ")  # number, when it was written (Unix microseconds)
 _BRANCH_END = struct.Struct("<BQBB")  # number, whether it may have run
--- a/pinspread/core/ports.py
+++ b/pinspread/core/ports.py
@@ -118,7 +118,10 @@
         """Run until cancelled."""
 
     async def leave(self) -> None:
-        """SIGTERM came: say goodbye, briefly."""
+        """SIGTERM came: say goodbye, beside the core's end."""
+
+    async def part(self) -> None:
+        """All that was out has ended: what could not go before, briefly."""
 
     def view(self) -> dict:
         """What the door shows of it."""
--- a/pinspread/fleet/loopback/cast.py
+++ b/pinspread/fleet/loopback/cast.py
@@ -107,6 +107,7 @@
         self.folder = stage.folder / self.id
         self.offset_ms, self.clock_rate = 0, 1.0
         self.process = None
+        self.ending = False  # told to end, and not started again since
         self.reader = None
         self.serving = threading.Event()
 
@@ -153,6 +154,7 @@
         path = self.folder / "courier.toml"
         path.write_text(self.config())
         self.serving.clear()
+        self.ending = False
         root = Path(__file__).parents[3]
         command = [sys.executable, "-m", "pinspread", "serve", "--app", str(path)]
         self.process = subprocess.Popen(
@@ -186,6 +188,7 @@
     def signal(self, what):
         process = self.process
         if process is not None and process.poll() is None:
+            self.ending = what == "term"
             process.send_signal(SIGNALS[what])
             self.stage.history.add(self.id, "signalled", do=what)
 
@@ -274,7 +277,9 @@
                 self.history.add(c.id, "flipped", **flip(c.folder / "state" / "journal"))
         elif do == "start":
             for c in self.who(event):
-                if c.process is None or c.process.poll() is not None:
+                if c.ending:  # as whoever restarts it would wait
+                    await asyncio.to_thread(c.end)
+                if not c.running():
                     c.start()
         elif do == "offset":
             for c in self.who(event):
--- a/pinspread/fleet/loopback/traffic.py
+++ b/pinspread/fleet/loopback/traffic.py
@@ -15,6 +15,7 @@
 PARTNER, PLATFORM = ("201", 8080), ("202", 8500)
 CLASSES = {"payment": 0.4, "booking-change": 0.4, "status-update": 0.2}
 KEYS = 8
+LATE_US = 1_000_000  # what a notice may take after a message's time is up
 
 
 class Traffic:
@@ -105,19 +106,19 @@
 
 def ledger(lines):
     """What became of all that was acknowledged: counts, and the ids of what must not be."""
-    acked, delivered, finals, order, taken = {}, {}, {}, {}, {}
-    told_us, last_done = {}, {}
+    acked, delivered, finals, taken = {}, {}, {}, {}
+    told_us, first_done, last_done = {}, {}, {}
     for line in lines:
         event, id_ = line.get("event"), line.get("id")
         if event == "taken":
-            taken.setdefault(id_, (line["who"], line["key"], line["mono_us"]))
+            until_us = line["mono_us"] + line["for_ms"] * 1000
+            taken.setdefault(id_, (line["who"], line["key"], line["mono_us"], until_us))
         elif event == "acked":
             acked[id_] = line
         elif event == "delivered" and line["who"] == "partner":
             delivered[id_] = delivered.get(id_, 0) + 1
+            first_done.setdefault(id_, line["mono_us"])
             last_done[id_] = line["mono_us"]
-            if delivered[id_] == 1:
-                order[id_] = len(order)
         elif event == "final" and line["who"] == "platform":
             finals.setdefault(id_, []).append(line["state"])
             told_us.setdefault(id_, line["mono_us"])
@@ -128,11 +129,12 @@
 
     twice = [i for i, n in delivered.items() if n > 1 and acked.get(i, {}).get("cls") == "payment"]
     disordered, last = [], {}
-    for id_, (who, key, _) in sorted(taken.items(), key=lambda item: item[1]):
-        if key and id_ in order and id_ in acked:
-            if order[id_] < last.get((who, key), -1):
+    for id_, (who, key, *_) in sorted(taken.items(), key=lambda item: item[1]):
+        if key and id_ in first_done and id_ in acked:
+            if first_done[id_] < last.get((who, key), 0):  # also one that was delivered again behind its next
                 disordered.append(id_)
-            last[who, key] = max(order[id_], last.get((who, key), -1))
+            last[who, key] = max(last_done[id_], last.get((who, key), 0))
+    ends = {i: min(told_us.get(i, first_done.get(i, 0)), first_done.get(i, told_us.get(i, 0))) for i in acked}
     return {
         "acked": len(acked),
         "delivered": sum(i in delivered for i in acked),
@@ -143,6 +145,7 @@
         "payments_twice": twice,
         "disordered": disordered,
         "delivered_and_failed": [i for i in finals if i in delivered],
+        "late": [i for i, us in ends.items() if i in taken and us > taken[i][3] + LATE_US],
         "turned_away": sum(li.get("event") == "turned_away" for li in lines),
     }
 
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -62,6 +62,8 @@
         self.listening = {}  # name of a front -> its socket
         self.tasks = None
         self.scopes = []  # of what rests while another process takes over
+        self.signals = None
+        self.again = False  # SIGHUP came before there was anything to change
         self.leaving = anyio.Event()
         self.at_rest = False
 
@@ -72,7 +74,7 @@
         doors = [sockets.listen(self.told.admin)] if self.told.admin else []
         # Danger: a signal without a receiver ends the process and all that it serves.
         wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-        with anyio.open_signal_receiver(*wanted) as signals:
+        with anyio.open_signal_receiver(*wanted) as self.signals:
             async with anyio.create_task_group() as self.tasks:
                 for sock in doors:
                     self.tasks.start_soon(door(self.courier, self.told.sockets, self.companions).run, sock)
@@ -81,16 +83,24 @@
                 except (JournalFull, JournalUnreadable, OSError) as error:
                     failed = error
                 else:
-                    self.tasks.start_soon(self._follow_signals, signals)
+                    self.tasks.start_soon(self._follow_signals)
                     await self.leaving.wait()
-                    for companion in self.companions:
-                        await companion.leave()
-                    await self._end()
+                    await self._leave()
                 self.tasks.cancel_scope.cancel()
         if failed:
             raise failed
         log("stopped")
 
+    async def _leave(self):
+        """Say so to the fleet, finish what is out, and part with what depends on that."""
+        async with anyio.create_task_group() as tasks:  # beside each other: both count in the 3.7 s
+            for companion in self.companions:
+                tasks.start_soon(companion.leave)
+            if self.courier.serving:
+                await self._end()
+        for companion in self.companions:
+            await companion.part()
+
     async def _begin(self):
         told, courier, tasks = self.told, self.courier, self.tasks
         for companion in self.companions:
@@ -98,6 +108,8 @@
             tasks.start_soon(companion.run)
         courier.transports["amqp"] = BrokerTransport(self.clock, tasks, told.dial_us, self.login)
         before = await self._take_over()
+        if self.leaving.is_set():
+            return
         legs, sockets_ = (before.legs, before.sockets) if before else ((), {})
         # From here on PING is answered: all that is owed is known again.
         if told.listen:
@@ -133,8 +145,10 @@
             before = await succession.inherit(told.state, self.owner, courier.journal, courier.sender)
         else:
             await self._own()
-            for companion in self.companions:
-                await companion.before_recovery()
+            if self.companions:
+                await self._before_recovery()
+                if self.leaving.is_set():
+                    return None
         if before is None or before.state is None:
             self.discovery.start()
             courier.recover()
@@ -144,6 +158,22 @@
         self.pool.adopt(before.idle)
         return before
 
+    async def _before_recovery(self):
+        """Have companions know what is owed, which takes others that answer; SIGTERM ends that."""
+
+        async def follow(scope):
+            async for signum in self.signals:
+                if signum != signal.SIGHUP:
+                    self.leaving.set()
+                    scope.cancel()
+                self.again = True
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follow, tasks.cancel_scope)
+            for companion in self.companions:
+                await companion.before_recovery()
+            tasks.cancel_scope.cancel()
+
     async def _own(self):
         # Danger: a process that is ending may still write to the journal; two would tear it.
         try:
@@ -169,8 +199,10 @@
             self.scopes.append(scope)
             self.tasks.start_soon(_within, scope, self.second.run, self.listening[AMQP])
 
-    async def _follow_signals(self, signals):
-        async for signum in signals:
+    async def _follow_signals(self):
+        if self.again:
+            self.change()
+        async for signum in self.signals:
             if signum != signal.SIGHUP:
                 self.leaving.set()
             elif not self.courier.heir:
