Drive the AMQP front on the stage too, and measure copies' cost by R, W and sync

The costs were measured for W alone, beside other runs.

Change: the tests' AMQP client stands in fleet/loopback/parties.py now, unchanged; traffic publishes a share of the messages with confirms and consumes ends at every courier; a returned or nacked publish is tried again under its id, as one without a confirm. Weighed: a connection kept for all publishes of a courier; not taken, since a publish must fail alone when the courier closes its session. The benchmark has a row for each R and W, and with sync; its arguments are named.

--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -1,12 +1,13 @@
-"""Copies under load on the fault stage: `python benchmarks/copies.py [OUT] [TRIALS]` (about 11 s a trial).
+"""Copies under load on the fault stage: `PYTHONPATH=. python benchmarks/copies.py [OUT] [TRIALS] [--seed N] [--no-costs]` (about 11 s a trial).
 
 Five couriers with traffic; again and again one, drawn at random, is killed and its folder removed at a random
-moment, its work is taken over, and it is started again. Prints the ledger over all trials (lost, ended twice,
-payments twice, order broken: each has to be 0), and the time from the kill to the first message of the lost courier
-that goes on elsewhere. Then, for 0, 1 and 2 copies waited for, the time from handing in to +OK as callers see it,
-throughput, and bytes copied a message.
+moment, its work is taken over, and it is started again. A fifth of the messages comes by AMQP. Prints the ledger over
+all trials (lost, ended twice, payments twice, order broken: each has to be 0), and the time from the kill to the first
+message of the lost courier that goes on elsewhere. Then, for R copies kept and W waited for, the time from handing in to
++OK as callers see it, throughput, and bytes copied a message.
 """
 
+import argparse
 import asyncio
 import random
 import sys
@@ -39,7 +40,7 @@
 
 async def trials(folder, count, seed=1):
     rng = random.Random(seed)
-    load = {"rate": 8.0, "slow_s": 0.8, "for_s": 11.0 * count + 4, "deadline_s": 20.0}
+    load = {"rate": 8.0, "slow_s": 0.8, "for_s": 11.0 * count + 4, "deadline_s": 20.0, "amqp_share": 0.2}
     stage = cast.Stage(SCENE | {"copies": {"count": 2, "need": 1}, "traffic": load}, folder)
     try:
         await stage.begin()
@@ -87,16 +88,16 @@
     return found, others
 
 
-async def cost(folder, need):
-    """Latency and throughput of one courier's door, with so many copies waited for (0: no copies at all)."""
+async def cost(folder, count, need, sync=False):
+    """Latency and throughput at the couriers' doors, with `count` copies kept (0: none) and `need` waited for."""
     load = {"rate": 60.0, "slow_s": 0.02, "for_s": 8.0, "deadline_s": 10.0}
-    copies = {"copies": {"count": max(1, need), "need": need}} if need else {}
+    copies = {"copies": {"count": count, "need": need, "sync": sync}} if count else {}
     stage = cast.Stage(SCENE | copies | {"traffic": load}, folder)
     try:
         await stage.begin()
         await asyncio.sleep(12)
         views = [
-            await asyncio.to_thread(show.fetch, f"{c.real[0]}:9600", "copies") for c in stage.cast if need
+            await asyncio.to_thread(show.fetch, f"{c.real[0]}:9600", "copies") for c in stage.cast if count
         ]
     finally:
         await stage.hush()
@@ -104,13 +105,21 @@
     lines = judge.read_scene(Path(folder) / "history.jsonl")
     took = [li["took_us"] for li in lines if li.get("event") == "acked"]
     sent = sum(v["sent_bytes"] for v in views)
-    print(f"waiting for {need} copies: ms to +OK: {spread(took)}; {len(took) / 8:.0f} messages a second in all;"
+    print(f"R={count}, W={need}{', synced' * sync}: ms to +OK: {spread(took)}; {len(took) / 8:.0f} messages a second in all;"
           f" {sent / max(1, len(took)):.0f} bytes copied a message")  # fmt: skip
 
 
-def main(out, count):
-    out = Path(out)
-    lines = asyncio.run(trials(out / "trials", count))
+def main(out, count, seed, costs):
+    """Trials, then costs; 1 if anything was lost or done twice."""
+    wrong = played(out, count, seed) if count else 0
+    for kept in ((0, 0), (1, 1), (2, 1), (2, 2), (2, 1, True), (2, 2, True)) if costs else ():
+        asyncio.run(cost(out / "-".join(["cost", *map(str, kept)]), *kept))
+    return wrong
+
+
+def played(out, count, seed):
+    """The trials and what became of all; 1 if anything was lost or done twice."""
+    lines = asyncio.run(trials(out / "trials", count, seed))
     found = traffic.ledger(lines)
     print("ledger:", {k: v if isinstance(v, int) else len(v) for k, v in found.items()})
     flows, others = flowing(lines)
@@ -118,11 +127,14 @@
     waits = [li for li in lines if li.get("event") in ("copies_awaited", "copies_unsure")]
     print("takeovers that waited for a copy:", len(waits))
     print("taken over:", sum(li.get("event") == "copies_taken_over" for li in lines))
-    for need in (0, 1, 2):
-        asyncio.run(cost(out / f"cost{need}", need))
     return 1 if any(found[k] for k in ("lost", "two_finals", "payments_twice", "disordered")) else 0
 
 
 if __name__ == "__main__":
-    words = sys.argv[1:]
-    sys.exit(main(words[0] if words else "found/copies", int(words[1]) if len(words) > 1 else 100))
+    words = argparse.ArgumentParser(description="Copies under kills, and what they cost.")
+    words.add_argument("out", nargs="?", type=Path, default=Path("found/copies"))
+    words.add_argument("trials", nargs="?", type=int, default=100, help="kills; 0 leaves them out")
+    words.add_argument("--seed", type=int, default=1)
+    words.add_argument("--no-costs", dest="costs", action="store_false")
+    chosen = words.parse_args()
+    sys.exit(main(chosen.out, chosen.trials, chosen.seed, chosen.costs))
--- a/pinspread/fleet/loopback/traffic.py
+++ b/pinspread/fleet/loopback/traffic.py
@@ -1,5 +1,6 @@
 """Traffic on the fault stage: callers of every courier, one partner, the platform that hears notices; and a ledger.
 
+A share of the messages comes by AMQP: published with confirms, their ends consumed at every courier.
 Events in the history: `acked` (a courier said +OK), `delivered` (the partner did it), `final` (a notice came).
 A caller that hears nothing hands the same message in again at the same courier until its time is up.
 """
@@ -8,20 +9,33 @@
 
 import anyio
 import orjson
+from pamqp import commands
 
-from pinspread.fleet.loopback.parties import Client, HttpStandIn
+from pinspread.fleet.loopback.parties import AmqpClient, Client, HttpStandIn
 from pinspread.net import sockets
 
 PARTNER, PLATFORM = ("201", 8080), ("202", 8500)
 CLASSES = {"payment": 0.4, "booking-change": 0.4, "status-update": 0.2}
 KEYS = 8
+ENDS = "ends"
 LATE_US = 1_000_000  # what a notice may take after a message's time is up
 
 
 class Traffic:
     """`rate` messages a second at each courier, for `for_s` seconds, each with `deadline_s` to its end."""
 
-    def __init__(self, stage, rate=10.0, for_s=10.0, deadline_s=15.0, slow_s=0.02, busy_share=0.05, seed=1):
+    def __init__(
+        self,
+        stage,
+        rate=10.0,
+        for_s=10.0,
+        deadline_s=15.0,
+        slow_s=0.02,
+        busy_share=0.05,
+        amqp_share=0.0,
+        seed=1,
+    ):
+        self.amqp_share = amqp_share
         self.stage, self.rate, self.for_s, self.deadline_s = stage, rate, for_s, deadline_s
         self.slow_s, self.busy_share, self.rng = slow_s, busy_share, random.Random(seed)
         self.add = stage.history.add
@@ -48,6 +62,8 @@
                 await started.wait()
                 for c in self.stage.cast:
                     tasks.start_soon(self._callers, tasks, c)
+                    if self.amqp_share:
+                        tasks.start_soon(self._consume, c)
 
     async def _partner(self, request):
         _, method, _, _, body = request
@@ -71,21 +87,21 @@
         while anyio.current_time() < end:
             cls = self.rng.choices(list(CLASSES), CLASSES.values())[0]
             serial += 1
-            tasks.start_soon(self._call, courier, f"{courier.id}-{serial}", cls, self.rng.randrange(1, KEYS))
+            by_amqp = self.rng.random() < self.amqp_share
+            key = self.rng.randrange(1, KEYS) if cls == "booking-change" else 0
+            hand_in = _publish if by_amqp else _enqueue
+            tasks.start_soon(self._call, hand_in, courier, f"{courier.id}-{serial}", cls, key)
             await anyio.sleep(self.rng.expovariate(self.rate))
 
-    async def _call(self, courier, id_, cls, key):
+    async def _call(self, hand_in, courier, id_, cls, key):
         until = anyio.current_time() + self.deadline_s
-        client = Client(f"{courier.real[0]}:6379")
-        key = key if cls == "booking-change" else 0
         while (left := until - anyio.current_time()) > 1:
             said = ""
             try:
-                options = f"c={cls},t=all,d={int(left * 1000)},k={id_},dest=1"
                 with anyio.move_on_after(1.0):
                     began = anyio.current_time()
-                    said = await client.say("ENQUEUE", str(key), id_, options, id_.encode())
-            except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+                    said = await hand_in(courier.real[0], id_, cls, key, int(left * 1000))
+            except (OSError, TimeoutError, anyio.EndOfStream, anyio.BrokenResourceError):
                 pass
             if said.startswith("+OK"):
                 took = int((anyio.current_time() - began) * 1e6)
@@ -96,12 +112,49 @@
             elif said:
                 self.add(courier.id, "refused", id=id_, said=said[:200])
                 break
-            if client.stream is not None:
-                await client.stream.aclose()
-                client.stream = None
             await anyio.sleep(0.3)
+
+    async def _consume(self, courier):
+        """Hear the ends of what was published at a courier, over its restarts."""
+        while True:
+            client = None
+            try:
+                client = await AmqpClient.open(f"{courier.real[0]}:5672", confirms=False)
+                await client.consume(ENDS)
+                while True:
+                    told, _ = await client.end()
+                    self.add("platform", "final", id=told["id"], state=told["state"])
+            except (OSError, TimeoutError):
+                await anyio.sleep(0.2)
+            finally:
+                if client:
+                    client.close()
+
+
+async def _enqueue(host, id_, cls, key, for_ms):
+    """Hand a message in by RESP2: its answer."""
+    client = Client(f"{host}:6379")
+    try:
+        options = f"c={cls},t=all,d={for_ms},k={id_},dest=1"
+        return await client.say("ENQUEUE", str(key), id_, options, id_.encode())
+    finally:
         if client.stream is not None:
-            await client.stream.aclose()
+            with anyio.CancelScope(shield=True):
+                await client.stream.aclose()
+
+
+async def _publish(host, id_, cls, key, for_ms):
+    """Publish a message and wait for its confirm, in the words of RESP2; empty if there is none."""
+    client = await AmqpClient.open(f"{host}:5672")
+    try:
+        told = {"key": f"{key:x}", "idempotency-key": id_}
+        await client.publish(id_, cls, id_.encode(), for_ms, tenant="all", **told)
+        method, _, _ = await client.next()
+        if isinstance(method, commands.Basic.Ack):
+            return "+OK"
+        return "-BUSY" if isinstance(method, commands.Basic.Return | commands.Basic.Nack) else ""
+    finally:
+        client.close()
 
 
 def ledger(lines):
@@ -144,7 +197,7 @@
         "two_finals": [i for i, said in finals.items() if len(set(said)) > 1 or after(i, "returned")],
         "payments_twice": twice,
         "disordered": disordered,
-        "delivered_and_failed": [i for i in finals if i in delivered],
+        "delivered_and_failed": [i for i, said in finals.items() if i in delivered and "failed" in said],
         "late": [i for i, us in ends.items() if i in taken and us > taken[i][3] + LATE_US],
         "turned_away": sum(li.get("event") == "turned_away" for li in lines),
     }
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -21,6 +21,7 @@
 from pinspread.core.transactions import NextHop
 from pinspread.decide import Sender
 from pinspread.fleet.loopback.parties import (
+    AmqpClient,
     Client,
     HttpStandIn,
     configuration,
@@ -169,69 +170,6 @@
             await wire.send(commands.Basic.Ack(tag, False), 1)
 
 
-class AmqpClient:
-    """A publisher and consumer at the courier's AMQP front."""
-
-    def __init__(self, wire):
-        self.wire = wire
-        self.contents = frames.Contents()
-
-    @classmethod
-    async def open(cls, address, confirms=True):
-        self = cls(frames.Wire(await sockets.dial(address), Clock()))
-        await self.wire.connection.write(frames.GREETING)
-        await self.wire.method("Connection.Start")
-        await self.wire.send(commands.Connection.StartOk({}, "PLAIN", "\0a\0b", "en_US"))
-        await self.wire.method("Connection.Tune")
-        await self.wire.send(commands.Connection.TuneOk(8, 4096, 0))
-        await self.ask(commands.Connection.Open("/"), channel=0)
-        await self.ask(commands.Channel.Open())
-        if confirms:
-            await self.ask(commands.Confirm.Select())
-        return self
-
-    async def ask(self, method, channel=1):
-        """Send a method and give the next thing that comes."""
-        await self.wire.send(method, channel)
-        return await self.next()
-
-    async def next(self):
-        """The next (method, properties, body)."""
-        with anyio.fail_after(5):
-            while True:
-                channel, found = await self.wire.frame()
-                if channel == 0 and isinstance(found, base.Frame):
-                    return found, None, None
-                if channel and (whole := self.contents.feed(found)):
-                    return whole
-
-    async def publish(self, id_, cls="payment", body=b"x", for_ms=5000, exchange="", **headers):
-        """Publish one message without waiting for its confirm."""
-        told = {"class": cls, "tenant": "north", "dest": 1} | headers
-        properties = commands.Basic.Properties(
-            headers=told, message_id=id_, expiration=str(for_ms), reply_to="ends"
-        )
-        method = commands.Basic.Publish(0, exchange, "partner", False)
-        await self.wire.write(frames.content(method, properties, body, 1, 4096))
-
-    async def consume(self, queue="ends", prefetch=0):
-        """Consume ends."""
-        await self.ask(commands.Basic.Qos(0, prefetch))
-        return await self.ask(commands.Basic.Consume(0, queue, "c"))
-
-    async def end(self, ack=True):
-        """The next end that is delivered: its told JSON, and the delivery."""
-        while True:
-            method, _, body = await self.next()
-            if isinstance(method, commands.Basic.Deliver):
-                if ack:
-                    await self.wire.send(commands.Basic.Ack(method.delivery_tag), 1)
-                return orjson.loads(body), method
-
-    def close(self):
-        self.wire.connection.close()
-
-
 def malformed(payload):
     """A method frame with any payload."""
     return frames.FRAME_HEAD.pack(1, 1, len(payload)) + payload + bytes([frames.FRAME_END])
--- a/tests/test_copies_stage.py
+++ b/tests/test_copies_stage.py
@@ -32,8 +32,10 @@
         tmp_path,
         [{"s": 3, "do": "wipe", "who": ["m3"]}, {"s": 9, "do": "start", "who": ["m3"]}],
         seconds=30,
-        traffic=TRAFFIC | {"for_s": 15.0, "deadline_s": 14.0},
+        traffic=TRAFFIC | {"for_s": 15.0, "deadline_s": 14.0, "amqp_share": 0.4},
     )
+    published = {li["id"] for li in of("final", "platform") if li["state"] == "delivered"}
+    assert len(published) >= 50  # their ends were heard by AMQP, over a kill and a takeover
     over = next(li for li in of("copies_taken_over") if li["owner"] == "m3")
     assert over["count"] >= 3
     back = of("copies_gave_up", "m3", after_s=9)[0]
