Keep each voter's log with checksums, and take the vote of one whose log is damaged or full

Cause: pysyncobj's FileJournal has no checksums (FileJournal.__init__ reads what stands there), cuts the front of the log by clear() and adds (a kill between them forgets acknowledged entries), and a full disk would end the courier from its mapped file. Quorum.Streams also read the mark of its vote before a damaged dump was put aside, so that voter was not fresh.

The stage's `flip` takes a file.

--- a/pinspread/cluster/leases.py
+++ b/pinspread/cluster/leases.py
@@ -46,6 +46,7 @@
     terms: lease.Terms
     election_s: float
     folder: str
+    sync: bool = False
 
 
 class Leases:
@@ -144,6 +145,7 @@
                 Path(self.plan.folder),
                 self.plan.election_s,
                 self._applied,
+                self.plan.sync,
             )
         log("leases_up", id=self.id, listen=self.plan.listen, voter=self.quorum is not None)
 
--- a/pinspread/cluster/quorum.py
+++ b/pinspread/cluster/quorum.py
@@ -13,17 +13,19 @@
 import pickletools
 import random
 from collections import Counter
+from contextlib import contextmanager
 from pathlib import Path
 
 import anyio
 import msgpack
 import pysyncobj
+import pysyncobj.syncobj
 from anyio.streams.buffered import BufferedByteReceiveStream
 from pysyncobj.config import FAIL_REASON
 from pysyncobj.node import Node
 from pysyncobj.transport import Transport
 
-from pinspread.cluster import lease, wire
+from pinspread.cluster import lease, raftlog, wire
 from pinspread.core.log import log
 from pinspread.net.sockets import split_address
 
@@ -77,13 +79,16 @@
 class Quorum:
     """This voter's part of the agreement; `run` while the courier runs."""
 
-    def __init__(self, id_, listen, voters, key, folder, election_s, on_change):
-        """`voters`: {id: where its streams are taken}, this one included; `folder`: a Path that lasts."""
+    def __init__(self, id_, listen, voters, key, folder, election_s, on_change, sync=False):
+        """`voters`: {id: where its streams are taken}, this one included; `folder`: a Path that lasts.
+
+        With `sync`, each change of the log is on the disk before a message speaks of it.
+        """
         self.id, self.key, self.folder = id_, key, folder
         self.host, self.port = split_address(listen)
         self.others = {v: split_address(a) for v, a in voters.items() if v != id_}
         folder.mkdir(parents=True, exist_ok=True)
-        self.mark = folder / "voter"
+        self.mark = folder / "votes"
         self.table = Table(on_change)
         self.streams = Streams(self)
         self.woken = anyio.Event()
@@ -97,7 +102,6 @@
             leaderFallbackTimeout=2 * election_s,
             appendEntriesUseBatch=False,
             appendEntriesBatchSizeBytes=MOST_BATCH,
-            journalFile=str(folder / "journal"),
             fullDumpFile=str(folder / "dump"),
             useFork=False,
             serializer=self._dump,
@@ -105,22 +109,23 @@
             logCompactionMinEntries=COMPACT_ENTRIES,
             logCompactionMinTime=10**9,
         )
-        self._keep_whole()
+        self.raft_log = self._read_whole(sync)
         nodes = [Node(v) for v in self.others]
-        self.sync = pysyncobj.SyncObj(
-            Node(id_), nodes, conf, consumers=[self.table], nodeClass=Node, transport=self.streams
-        )
+        with _its_log(self.raft_log):
+            self.sync = pysyncobj.SyncObj(
+                Node(id_), nodes, conf, consumers=[self.table], nodeClass=Node, transport=self.streams
+            )
 
     # --- asking ---------------------------------------------------------------------------------------
 
     def is_leader(self) -> bool:
         """Whether this voter takes itself for the leader; there may be another."""
-        return self.sync._isLeader()
+        return self.sync._isLeader() and not self.raft_log.broken
 
     def leader_id(self) -> str:
         """The leader as far as this voter knows, or empty."""
         node = self.sync._getLeader()
-        return node.id if node else ""
+        return node.id if node and not self.raft_log.broken else ""
 
     def propose(self, task: str, command: lease.Command, done):
         """Append a command; `done(row, why)` once it is applied here, never if that cannot be told."""
@@ -152,17 +157,21 @@
             self.table.on_change(task, self.table.rows[task])
         return tuple(found["after"]), tuple(found["before"]), []
 
-    def _keep_whole(self):
-        """Put a damaged dump aside with all that belongs to it: this voter is fresh then."""
+    def _read_whole(self, sync):
+        """The log; where it or the dump is damaged, all goes aside, and this voter is fresh."""
         dump = self.folder / "dump"
         try:
             if dump.exists():
                 wire.whole(dump.read_bytes(), b"", MAGIC)
-        except (wire.Dropped, OSError) as why:
-            # Danger: entries behind a dump that is lost would be applied to rows that are not theirs.
+            return raftlog.RaftLog(self.folder / "log", sync)
+        except (wire.Dropped, raftlog.Damaged) as why:
+            # Danger: entries behind a dump that is lost would be applied to rows that are not theirs, and a
+            # log with a flipped bit may hold a vote that was never given, or not hold one that was.
             log("quorum_damaged", id=self.id, why=str(why))
             for path in list(self.folder.iterdir()):
                 path.rename(path.with_name(f"damaged-{path.name}"))
+            self.streams.fresh = True
+            return raftlog.RaftLog(self.folder / "log", sync)
 
     # --- running --------------------------------------------------------------------------------------
 
@@ -175,12 +184,23 @@
                     tasks.start_soon(self.streams.keep_open, id_, host, port)
                 tasks.start_soon(listener.serve, self.streams.take, tasks)
                 await self._ticks()
+                tasks.cancel_scope.cancel()
         finally:
             self.sync.destroy()
 
     async def _ticks(self):
+        """The library's turns, until its log cannot be written: this courier serves on without a vote."""
         while True:
-            self.sync.doTick(0.0)
+            try:
+                self.sync.doTick(0.0)
+            except OSError as error:
+                if not self.raft_log.broken:
+                    raise
+                log("quorum_failed", id=self.id, error=str(error))
+                return
+            if self.raft_log.broken:  # by a message that was heard
+                log("quorum_failed", id=self.id, error="its log cannot be written")
+                return
             self.streams.grow_up()
             leader = self.leader_id()
             if leader != self.leader:
@@ -239,7 +259,9 @@
     def send(self, node, message):
         """Into the stream to that voter; whether one is open."""
         out = self.out.get(node.id)
-        if out is None or not out.up or (self.fresh and message["type"] == "request_vote"):
+        # Danger: what could not be written must not be said.
+        broken = self.quorum.raft_log.broken
+        if out is None or not out.up or broken or (self.fresh and message["type"] == "request_vote"):
             return False
         body = {"term": self.quorum.sync.raftCurrentTerm, "message": message}
         out.put(wire.pack(body, self.quorum.key, MAGIC))
@@ -365,6 +387,17 @@
     scope.cancel()
 
 
+@contextmanager
+def _its_log(raft_log):
+    """Have the library take our log where it would make one of its own: it cannot be given one."""
+    kept = pysyncobj.syncobj.createJournal
+    pysyncobj.syncobj.createJournal = lambda path: raft_log
+    try:
+        yield
+    finally:
+        pysyncobj.syncobj.createJournal = kept
+
+
 def plain(command: bytes) -> bool:
     """Whether a command is a pickle of plain values, or one that the library sends without any."""
     if not command:
--- a/pinspread/config/application.py
+++ b/pinspread/config/application.py
@@ -166,6 +166,7 @@
     drift_s: Annotated[float, Field(ge=0, le=600)] = 0.5  # a clock's gain or loss in the course of a lease
     margin_s: Annotated[float, Field(ge=0, le=600)] = 0.2  # between the check and the act's effect
     election_s: Annotated[float, Field(ge=0.1, le=60)] = 0.5
+    sync: bool = False  # a voter's log is on its disk before a message speaks of it
     voters: Annotated[list[Voter], Field(alias="voter", min_length=1)]
     tasks: Annotated[list[LeaseTask], Field(alias="task", max_length=64)] = []
 
@@ -183,6 +184,7 @@
             lease.Terms(*(int(f * us) for f in figures)),
             self.election_s,
             os.path.join(folder, "leases"),
+            self.sync,
         )
 
 
--- a/pinspread/fleet/loopback/cast.py
+++ b/pinspread/fleet/loopback/cast.py
@@ -274,7 +274,7 @@
                 self.history.add(c.id, "signalled", do="wipe")
         elif do == "flip":
             for c in self.who(event):
-                self.history.add(c.id, "flipped", **flip(c.folder / "state" / "journal"))
+                self.history.add(c.id, "flipped", **flip(c.folder / "state" / event.get("file", "journal")))
         elif do == "start":
             for c in self.who(event):
                 if c.ending:  # as whoever restarts it would wait
@@ -405,7 +405,7 @@
 
 
 def flip(path):
-    """Flip one bit of a file, a third from its start; where."""
+    """Flip one bit of a file, a third from its start; where, and how large it is."""
     data = bytearray(path.read_bytes())
     at = len(data) // 3
     data[at] ^= 1
--- a/tests/test_leases_stage.py
+++ b/tests/test_leases_stage.py
@@ -115,6 +115,23 @@
     assert not [us for us in led if 7_000_000 < us < 11_000_000]
 
 
+def test_a_flipped_bit_in_a_voters_log_takes_its_vote_until_it_has_caught_up(tmp_path):
+    lines = play(
+        tmp_path,
+        [
+            {"s": 3, "do": "kill", "who": ["@leader"]},
+            {"s": 3, "do": "flip", "file": "leases/log", "who": ["@leader"]},
+            {"s": 4, "do": "start"},
+        ],
+        [{"kind": "held_again", "after_s": 3, "within_s": 5}],
+        seconds=10,
+    )
+    (hurt,) = [li["who"] for li in lines if li.get("event") == "flipped"]
+    found = [li["event"] for li in lines if li["who"] == hurt and li["event"].startswith("quorum_")]
+    after = found[found.index("quorum_damaged") :]
+    assert after.index("quorum_votes") > after.index("quorum_leader")  # heard of one before it votes
+
+
 ASK = {"t": "lease", "kind": "ask", "task": "t", "member": "a", "token": 0, "number": 1, "at": "127.0.0.1:1"}
 
 
