End a message whose branch comes to nothing after its deadline; it was lost for good

The look that broke shows it: taken 16.16 s with 12 s to live, branch started 5 ms before its end, MOOT "out of time" at 28.16 s, and no `final` ever. decide.give_up_late pops the entry of `expiry` in the turn of the deadline and passes over what is out; on_outcome then asked may_repeat at max(ready_ns, the line's waits), a time before now and so before the deadline, kept the message, and no entry of it was left: it is never sent (may_send asks at now) and never answered.

Measured: tests/test_decide.py: a branch that is out at its deadline and ends 1 ms later as moot is refused (failed without the change; connect failed and time-outs passed before). 91 tests of the module pass.

The stage's `flip` takes a pattern and flips in place; a flipped bit in a keeper's copy is mended within a check (stage test, seen to pass twice; once before, with a check every 2 s, the owner was killed before the next one was due).

--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -300,7 +300,7 @@
         if verdict is not api.Verdict.MOOT:
             message.ready_ns = self.now + self.backoff(message.failures)
             message.failures += 1
-        at = max(message.ready_ns, line.told_ns, line.wait_ns, line.next_ns)
+        at = max(self.now, message.ready_ns, line.told_ns, line.wait_ns, line.next_ns)
         # Danger: messages that are worth little any more crowd fresh ones out at a limit that is passed.
         stale = verdict is api.Verdict.FULL and self.worth(message, at) < LEAST_WORTH * message.rule.worth
         if stale or not self.may_repeat(message, at):
--- a/pinspread/fleet/loopback/cast.py
+++ b/pinspread/fleet/loopback/cast.py
@@ -274,7 +274,8 @@
                 self.history.add(c.id, "signalled", do="wipe")
         elif do == "flip":
             for c in self.who(event):
-                self.history.add(c.id, "flipped", **flip(c.folder / "state" / event.get("file", "journal")))
+                path = next((c.folder / "state").glob(event.get("file", "journal")))
+                self.history.add(c.id, "flipped", **flip(path))
         elif do == "start":
             for c in self.who(event):
                 if c.ending:  # as whoever restarts it would wait
@@ -406,11 +407,13 @@
 
 def flip(path):
     """Flip one bit of a file, a third from its start; where, and how large it is."""
-    data = bytearray(path.read_bytes())
-    at = len(data) // 3
-    data[at] ^= 1
-    path.write_bytes(data)
-    return {"at": at, "size": len(data)}
+    with open(path, "r+b") as file:
+        size = file.seek(0, os.SEEK_END)
+        at = file.seek(size // 3)
+        byte = file.read(1)[0]
+        file.seek(at)
+        file.write(bytes([byte ^ 1]))
+    return {"at": at, "size": size}
 
 
 def load(path):
--- a/tests/test_copies_stage.py
+++ b/tests/test_copies_stage.py
@@ -82,6 +82,7 @@
         tmp_path,
         [
             {"s": 1, "do": "cut", "from": ["m0"], "to": ["m2"]},
+            {"s": 2, "do": "flip", "file": "copies/m[13]/journal.*", "who": ["m2"]},
             {"s": 3, "do": "heal"},
             {"s": 3, "do": "loss", "share": 0.05},
             {"s": 4, "do": "kill", "who": ["m1"]},
@@ -96,9 +97,10 @@
         ],
         seconds=26,
         traffic=TRAFFIC | {"for_s": 14.0, "deadline_s": 12.0},
-        copies={"check_s": 2, "sync": True},
+        copies={"check_s": 1, "sync": True},
     )
     assert [li for li in of("copies_restored", "m1") if li["why"] == "damaged"]
+    assert [li for li in of("copies_mended") if li["at"] == "m2" and li["place"] < li["size"]]
     assert of("copies_let_go")  # those that stood in while others were away
 
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -104,6 +104,16 @@
     assert desk.bucket.tokens == pytest.approx(9.1)  # a successful one takes none and brings a tenth
 
 
+@pytest.mark.parametrize("verdict", [api.Verdict.MOOT, CONNECT_FAILED, TIMEOUT])
+def test_what_was_out_when_its_time_ended_is_answered_when_its_outcome_comes(verdict):
+    desk = Desk()
+    desk.take(life=SECOND)
+    assert not desk.turn(after=SECOND)  # the turn at its deadline: it is out
+    (action,) = desk.end(1, verdict, after=MS)
+    assert action.request == 1 and type(action) is api.Refuse
+    assert not desk.sender.messages
+
+
 def test_ten_successes_bring_a_token_up_to_the_cap():
     desk = Desk()
     desk.bucket.tokens = 3.0
