--- a/pinspread/fleet/loopback/cast.py
+++ b/pinspread/fleet/loopback/cast.py
@@ -274,8 +274,9 @@
                 self.history.add(c.id, "signalled", do="wipe")
         elif do == "flip":
             for c in self.who(event):
-                path = next((c.folder / "state").glob(event.get("file", "journal")))
-                self.history.add(c.id, "flipped", **flip(path))
+                path = next((c.folder / "state").glob(event.get("file", "journal")), None)
+                if path is not None and path.stat().st_size:
+                    self.history.add(c.id, "flipped", **flip(path))
         elif do == "start":
             for c in self.who(event):
                 if c.ending:  # as whoever restarts it would wait
