Count as lost on the stage only what was silent to the end of its time, and measure flow by ends too

Change: the benchmark waits until the last message's time is up; the ledger counts apart what was still open at the end; flow is the first branch or end at the successor.

--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 import sys
+import time
 from pathlib import Path
 
 from hdrh.histogram import HdrHistogram
@@ -44,6 +45,7 @@
     stage = cast.Stage(SCENE | {"copies": {"count": 2, "need": 1}, "traffic": load}, folder)
     try:
         await stage.begin()
+        ends = time.monotonic() + load["for_s"] + load["deadline_s"] + 2  # when the last message's time is up
         await asyncio.sleep(3)
         for n in range(count):
             victim = rng.choice(stage.cast)
@@ -53,7 +55,7 @@
             await stage.act({"s": 0, "do": "start", "who": [victim.id]})
             await asyncio.sleep(5)
             print(f"  trial {n + 1}: {victim.id}", flush=True)
-        await asyncio.sleep(22)  # until the last message's time is up
+        await asyncio.sleep(max(0, ends - time.monotonic()))
     finally:
         await stage.hush()
         await asyncio.to_thread(stage.finish)
@@ -61,7 +63,7 @@
 
 
 def flowing(lines):
-    """Microseconds from each kill to the first branch elsewhere of a message that the lost courier took.
+    """Microseconds from each kill to the first branch or end elsewhere of what the lost courier had taken.
 
     Only of kills after which something was taken over before the courier came back; the others are counted.
     """
@@ -75,13 +77,19 @@
             back = next(
                 n for n, li in enumerate(later) if (li.get("event"), li["who"]) == ("started", line["who"])
             )
-            over = [li for li in later[:back] if li.get("event") == "copies_taken_over" and li["count"]]
+            over = {
+                li["who"]
+                for li in later[:back]
+                if li.get("event") == "copies_taken_over" and li["count"] and li["owner"] == line["who"]
+            }
             after = [
                 li["mono_us"]
                 for li in later
-                if li.get("event") == "branch" and owner.get(li["id"]) == line["who"] != li["who"]
+                if li.get("event") in ("branch", "final")
+                and li["who"] in over
+                and owner.get(li["id"]) == line["who"]
             ]
-            if after and any(li["owner"] == line["who"] for li in over):
+            if after and over:
                 found.append(min(after) - line["mono_us"])
             else:
                 others += 1
--- a/pinspread/fleet/loopback/traffic.py
+++ b/pinspread/fleet/loopback/traffic.py
@@ -187,13 +187,18 @@
             if first_done[id_] < last.get((who, key), 0):  # also one that was delivered again behind its next
                 disordered.append(id_)
             last[who, key] = max(last_done[id_], last.get((who, key), 0))
+    # What is open when the scene ends is lost only if its time was up by then.
+    end_us = next((li["mono_us"] for li in lines if li.get("event") == "ending"), 0)
+    silent = [i for i in acked if i not in delivered and i not in finals]
+    still_open = [i for i in silent if i in taken and taken[i][3] > end_us]
     ends = {i: min(told_us.get(i, first_done.get(i, 0)), first_done.get(i, told_us.get(i, 0))) for i in acked}
     return {
         "acked": len(acked),
         "delivered": sum(i in delivered for i in acked),
         "failed": sum("failed" in finals.get(i, ()) for i in acked),
         "returned": sum("returned" in finals.get(i, ()) for i in acked),
-        "lost": [i for i in acked if i not in delivered and i not in finals],
+        "lost": [i for i in silent if i not in still_open],
+        "open": len(still_open),
         "two_finals": [i for i, said in finals.items() if len(set(said)) > 1 or after(i, "returned")],
         "payments_twice": twice,
         "disordered": disordered,
