--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -16,7 +16,7 @@
 SAFE, KEYED, UNSAFE, ORDERED, ZONED = range(5)
 
 
-# What the second deployment's settings have otherwise: the list is asked for, several senders, a price between
+# What the second deployment has otherwise: the list is asked for, several senders, a price between
 # halls, longer cold times and grace, worth that falls by halves.
 SECOND_SHAPE = {
     "list_on_request": True,
