--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -117,11 +117,32 @@
           f" {sent / max(1, len(took)):.0f} bytes copied a message")  # fmt: skip
 
 
+async def throughput(folder, count, need, sync=False):
+    """Messages a second that one courier takes on from 32 callers, each one after the other."""
+    load = {"loops": 32, "at": ["m0"], "slow_s": 0.0, "busy_share": 0.0, "limit": 5000}
+    load |= {"for_s": 8.0, "deadline_s": 10.0}
+    copies = {"copies": {"count": count, "need": need, "sync": sync}} if count else {}
+    stage = cast.Stage(SCENE | copies | {"traffic": load}, folder)
+    try:
+        await stage.begin()
+        await asyncio.sleep(9)
+    finally:
+        await stage.hush()
+        await asyncio.to_thread(stage.finish)
+    lines = judge.read_scene(Path(folder) / "history.jsonl")
+    took = [li["took_us"] for li in lines if li.get("event") == "acked"]
+    busy = sum(li.get("event") == "turned_away" for li in lines)
+    print(f"R={count}, W={need}{', synced' * sync}: {len(took) / 8:.0f} messages a second at one courier, ms to +OK:"
+          f" {spread(took)}; turned away {busy}")  # fmt: skip
+
+
 def main(out, count, seed, costs):
     """Trials, then costs; 1 if anything was lost or done twice."""
     wrong = played(out, count, seed) if count else 0
     for kept in ((0, 0), (1, 1), (2, 1), (2, 2), (2, 1, True), (2, 2, True)) if costs else ():
         asyncio.run(cost(out / "-".join(["cost", *map(str, kept)]), *kept))
+    for kept in ((0, 0), (1, 1), (2, 1), (2, 2)) if costs else ():
+        asyncio.run(throughput(out / "-".join(["most", *map(str, kept)]), *kept))
     return wrong
 
 
--- a/pinspread/fleet/loopback/traffic.py
+++ b/pinspread/fleet/loopback/traffic.py
@@ -34,8 +34,13 @@
         busy_share=0.05,
         amqp_share=0.0,
         seed=1,
+        loops=0,
+        at=(),
+        limit=500,
     ):
-        self.amqp_share = amqp_share
+        """With `loops`, so many callers at a courier hand in one message after the other, whatever `rate` is;
+        with `at`, only at these couriers."""
+        self.amqp_share, self.loops, self.at, self.limit = amqp_share, loops, at, limit
         self.stage, self.rate, self.for_s, self.deadline_s = stage, rate, for_s, deadline_s
         self.slow_s, self.busy_share, self.rng = slow_s, busy_share, random.Random(seed)
         self.add = stage.history.add
@@ -45,7 +50,7 @@
         """The partner's records."""
         yield "_http._tcp PTR p1._http._tcp"
         yield f"p1._http._tcp SRV 0 0 {PARTNER[1]} p1"
-        yield 'p1._http._tcp TXT "dest=1" "rate=500"'
+        yield f'p1._http._tcp TXT "dest=1" "rate={self.limit}"'
         yield f"p1 A {self.stage.prefix}.{PARTNER[0]}"
 
     def platform(self):
@@ -61,7 +66,12 @@
                     tasks.start_soon(HttpStandIn(answer).run, sock)
                 await started.wait()
                 for c in self.stage.cast:
-                    tasks.start_soon(self._callers, tasks, c)
+                    if self.at and c.id not in self.at:
+                        continue
+                    for n in range(self.loops):
+                        tasks.start_soon(self._loop, c, n)
+                    if not self.loops:
+                        tasks.start_soon(self._callers, tasks, c)
                     if self.amqp_share:
                         tasks.start_soon(self._consume, c)
 
@@ -93,6 +103,14 @@
             tasks.start_soon(self._call, hand_in, courier, f"{courier.id}-{serial}", cls, key)
             await anyio.sleep(self.rng.expovariate(self.rate))
 
+    async def _loop(self, courier, n):
+        """One caller that hands in the next message as soon as it has heard of the last."""
+        end = anyio.current_time() + self.for_s
+        serial = 0
+        while anyio.current_time() < end:
+            serial += 1
+            await self._call(_enqueue, courier, f"{courier.id}-{n}-{serial}", "status-update", 0)
+
     async def _call(self, hand_in, courier, id_, cls, key):
         until = anyio.current_time() + self.deadline_s
         while (left := until - anyio.current_time()) > 1:
