Have an owner without its disk wait for the copy that may hold its last promises

Cause: a reread of copying.before_recovery: it restored from whatever answered at once, while a successor waits for enough copies (copies.enough, patience_s). Shown on the stage: m0, one of m3's keepers, is cut off from it, then m3 is killed with its folder removed as m2, the other keeper, is killed; m3 starts at once, m2 5 s later. Without the mend 8 promises of m3 and more were lost and 4 payments were delivered twice (m0's copy lacked their ends). Also: a generation is Unix time, and Source.rewritten knew only its own process's last one, so after a clock that went back keepers refuse everything as out of order, and the owner answers -BUSY for good.

Source.floor holds what copies have had.

--- a/pinspread/cluster/copies.py
+++ b/pinspread/cluster/copies.py
@@ -43,10 +43,12 @@
     held: dict = field(default_factory=dict)  # keeper -> (generation, place) that it has on its disk
     ends: array = field(default_factory=lambda: array("Q"))  # where each record ends
     times: array = field(default_factory=lambda: array("Q"))  # and when it was written, microseconds
+    floor: int = 0  # generations that copies have had: a new one is above them
 
     def rewritten(self, data: bytes, generation: int, now_us: int = 0):
         """The journal was written anew."""
-        self.generation = max(generation, self.generation + 1)
+        # Danger: after a clock that went back, copies would refuse all as older than what they have.
+        self.generation = max(generation, self.generation + 1, self.floor + 1)
         self.data, self.base = bytearray(), len(data)
         self.ends, self.times = array("Q"), array("Q")
         self.appended(data, now_us)
--- a/pinspread/cluster/copying.py
+++ b/pinspread/cluster/copying.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from pinspread.cluster import copies, placement, swim, wire
+from pinspread.cluster import copies, lease, placement, swim, wire
 from pinspread.cluster.frames import GONE, Frames
 from pinspread.cluster.leases import WORK
 from pinspread.cluster.member import machine_us
@@ -306,12 +306,29 @@
                 await anyio.sleep(0.05)
         task = WORK + self.id
         self.leases.want(task)
-        while not (token := self.leases.holds(task)):
-            await anyio.sleep(0.02)
-        found = await self._fetch_all(self.id, token)
+        while True:
+            while not (token := self.leases.holds(task)):
+                await anyio.sleep(0.02)
+            found = await self._fetch_all(self.id, token)
+            # Danger: without its own journal, what it promised may be on a copy that does not answer yet.
+            # Only who is granted its lease for the first time has promised nothing before.
+            if self._own()[1] or token == lease.FIRST or self._enough(self.id, found):
+                break
+            await anyio.sleep(AGAIN_S)
+        self.unsure.pop(self.id, None)
         self._restore(found, *await self._gone(found))
+        self.source.floor = max((f["generation"] for f in found.values()), default=0)
         self.sure = token
 
+    def _own(self):
+        """The bytes of this courier's journal on its own disk, and whether they are there and whole."""
+        path = self.courier.journal.path
+        if not path.exists():
+            return b"", False
+        data = path.read_bytes()
+        whole = journals.whole(data)
+        return data, whole == len(data) or journals.cut(data, whole)
+
     async def _stay_sure(self):
         """After the lease of its own work was lost and is held anew: give up what others took over."""
         while True:
@@ -334,7 +351,7 @@
     async def _gone(self, found):
         """Ids that others owe by now, as the copies of this courier's work say; whether that is all of it."""
         gone = await self._named_by(found, but=self.id)
-        best = copies.best([(f["generation"], f["bytes"]) for f in found.values()])
+        best = best_of(found)
         adopted = bool(best) and any(f["adopted"] and f["generation"] == best[0] for f in found.values())
         if adopted:
             live, _ = replayed(best[1])
@@ -344,13 +361,12 @@
     def _restore(self, found, drop, adopted):
         journal = self.courier.journal
         stamp = journal.path.parent / GENERATION
-        mine = journal.path.read_bytes() if journal.path.exists() else b""
+        mine, there = self._own()
         generation = int(stamp.read_text()) if stamp.exists() and stamp.read_text().isdigit() else 0
-        whole = journals.whole(mine)
-        sound = whole == len(mine) or journals.cut(mine, whole)
-        best = copies.best([(f["generation"], f["bytes"]) for f in found.values()])
-        if best and (not sound or not mine or (best[0], len(best[1])) > (generation, whole)):
-            why = "missing" if not mine else "older" if sound else "damaged"
+        whole, sound = journals.whole(mine), there or not mine
+        best = best_of(found)
+        if best and (not there or (best[0], len(best[1])) > (generation, whole)):
+            why = "missing" if not journal.path.exists() else "older" if sound else "damaged"
             log(
                 "copies_restored",
                 id=self.id,
@@ -413,7 +429,7 @@
         named = set()
         for tried in {t for f in found.values() for t in f["tried"]} - {but}:
             theirs = await self._ask_all({"t": "read", "owner": tried})
-            best = copies.best([(f["generation"], f["bytes"]) for f in whole_ones(theirs).values()])
+            best = best_of(whole_ones(theirs))
             if best:
                 live, past = replayed(best[1])
                 named |= {t.id for t in live} | past
@@ -583,28 +599,31 @@
                             mono_us=machine_us(),
                         )
 
+    def _enough(self, owner, found) -> bool:
+        """Whether what was promised must be among these copies, or has been waited for long enough."""
+        newest = best_of(found)
+        keepers = [f["keepers"] for f in found.values() if newest and f["generation"] == newest[0]]
+        # Danger: a keeper that the owner has chosen anew may not answer, and hold what the others lack.
+        if copies.enough(found, keepers, self.plan.count, self.plan.need):
+            return True
+        first = owner not in self.unsure
+        late = machine_us() - self.unsure.setdefault(owner, machine_us()) >= self.plan.patience_us
+        if first or late:
+            log(
+                "copies_unsure" if late else "copies_awaited",
+                id=self.id,
+                owner=owner,
+                answered=sorted(found),
+                of=keepers,
+                mono_us=machine_us(),
+            )
+        return late
+
     async def _take_over(self, owner, token):
         found = await self._fetch_all(owner, token)
-        best = copies.best([(f["generation"], f["bytes"]) for f in found.values()])
-        if best is None:
+        best = best_of(found)
+        if best is None or not self._enough(owner, found):
             return
-        keepers = [f["keepers"] for f in found.values() if f["generation"] == best[0]]
-        # Danger: a keeper that the owner has chosen anew may not answer, and hold what the others lack.
-        if not copies.enough(found, keepers, self.plan.count, self.plan.need):
-            first = owner not in self.unsure
-            waited_us = machine_us() - self.unsure.setdefault(owner, machine_us())
-            late = waited_us >= self.plan.patience_us
-            if first or late:
-                log(
-                    "copies_unsure" if late else "copies_awaited",
-                    id=self.id,
-                    owner=owner,
-                    answered=sorted(found),
-                    of=keepers,
-                    mono_us=machine_us(),
-                )
-            if not late:
-                return
         if any(f["adopted"] and f["generation"] == best[0] for f in found.values()):
             self.shelves[owner].kept.adopted = token
             self.shelves[owner].save()
@@ -647,6 +666,11 @@
     return time.time_ns() // 1000
 
 
+def best_of(found: dict):
+    """The newest generation and its longest copy among answers, or None."""
+    return copies.best([(f["generation"], f["bytes"]) for f in found.values()])
+
+
 def whole_ones(found: dict) -> dict:
     """Those answers, each up to its last whole record."""
     cut = {m: f | {"bytes": f["bytes"][: journals.whole(f["bytes"])]} for m, f in found.items()}
--- a/pinspread/cluster/lease.py
+++ b/pinspread/cluster/lease.py
@@ -15,6 +15,7 @@
 GRANT, RENEW, RELEASE = "grant", "renew", "release"  # commands of the agreed log
 ASK, KEEP, GIVE = "ask", "keep", "give"  # requests of a holder or contender
 OK = "ok"
+FIRST = 1  # the token of the first grant of a task
 
 
 class Terms(NamedTuple):
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -42,6 +42,9 @@
     assert source.copied("ab", mark) and not source.copied("a", mark)
     source.rewritten(b"base and one", 5)  # a clock that went back makes no older generation
     assert source.generation == 11
+    started = Source(need=2, floor=11)
+    started.rewritten(b"base", 3)  # nor in another process, where copies have one
+    assert started.generation == 12
     assert source.copied("ab", mark)  # what they hold still counts for what was promised by it
     source.held = {"a": (11, 11), "b": (11, 12)}
     assert not source.has("a", mark) and source.has("b", mark)  # half of the new file holds nothing for sure
--- a/tests/test_copies_stage.py
+++ b/tests/test_copies_stage.py
@@ -124,6 +124,27 @@
     assert not unknown
 
 
+def test_an_owner_without_its_disk_waits_for_the_copy_that_holds_its_last_promises(tmp_path):
+    # The keepers of m3 are m2 and m0 (rendezvous order); m0 is cut off from it, so m2 alone holds the last.
+    lines, of = play(
+        tmp_path,
+        [
+            {"s": 2, "do": "cut", "from": ["m3"], "to": ["m0"]},
+            {"s": 4, "do": "wipe", "who": ["m3"]},
+            {"s": 4, "do": "kill", "who": ["m2"]},
+            {"s": 4, "do": "heal"},
+            {"s": 4, "do": "start", "who": ["m3"]},
+            {"s": 9, "do": "start", "who": ["m2"]},
+        ],
+        seconds=24,
+        traffic=TRAFFIC | {"for_s": 9.0, "deadline_s": 15.0, "slow_s": 3.0},
+    )
+    back = of("copies_restored", "m3")[0]
+    assert [li for li in of("copies_awaited") if li["owner"] == "m3"]
+    held = [li["id"] for li in of("taken", "m3") if li["mono_us"] < back["mono_us"]]
+    assert len(held) >= 10 and back["bytes"] > 0
+
+
 def test_a_start_that_waits_for_its_lease_ends_at_sigterm(tmp_path):
     scene = {"members": 4, "late": ["m0", "m1", "m2", "m3"], "seconds": 4, "tuning": FAST, "leases": LEASES}
     at = [{"s": 0, "do": "start", "who": ["m3"]}, {"s": 3, "do": "term", "who": ["m3"]}]
