Be sure of what others took over before an owner or a successor acts on it

Change: _named_by says whether the copies that answered must hold all of it (_enough, as for the work itself); an owner that starts, one that holds its lease anew and a further successor wait for that, up to patience_s, and log copies_awaited with what is `wanted`. A wait that is over begins anew the next time.

No scene that loses by the old code was built: it takes a successor and its keepers gone at once as the owner comes back.

--- a/pinspread/cluster/copying.py
+++ b/pinspread/cluster/copying.py
@@ -72,7 +72,7 @@
         self.spare = {}  # live owner that has chosen others -> when it is asked next whether its copy may go
         self.sure = 0  # the token under which it is known what of this courier's work others have taken over
         self.taken = {}  # owner -> ids that were taken over; its lease is kept until they are over
-        self.unsure = {}  # owner -> since when too few copies answer
+        self.unsure = {}  # (what for, owner) -> since when too few copies of its work answer
         self.loud_us = 0
         self.sent_bytes = 0  # of the journal, to all copies
 
@@ -313,10 +313,11 @@
             # Danger: without its own journal, what it promised may be on a copy that does not answer yet.
             # Only who is granted its lease for the first time has promised nothing before.
             if self._own()[1] or token == lease.FIRST or self._enough(self.id, found):
-                break
+                gone, adopted, sure = await self._gone(found)
+                if sure:
+                    break
             await anyio.sleep(AGAIN_S)
-        self.unsure.pop(self.id, None)
-        self._restore(found, *await self._gone(found))
+        self._restore(found, gone, adopted)
         self.source.floor = max((f["generation"] for f in found.values()), default=0)
         self.sure = token
 
@@ -337,8 +338,8 @@
             if not token or token == self.sure or not self.courier.serving:
                 continue
             found = await self._fetch_all(self.id, token)
-            gone, adopted = await self._gone(found)
-            if self.leases.holds(WORK + self.id) != token:
+            gone, adopted, sure = await self._gone(found)
+            if not sure or self.leases.holds(WORK + self.id) != token:
                 continue
             try:
                 count = self.courier.disown(gone)
@@ -349,14 +350,17 @@
             log("copies_gave_up", id=self.id, count=count, adopted=adopted, mono_us=machine_us())
 
     async def _gone(self, found):
-        """Ids that others owe by now, as the copies of this courier's work say; whether that is all of it."""
-        gone = await self._named_by(found, but=self.id)
+        """Ids that others owe by now, as the copies of this courier's work say; whether that is all of it.
+
+        And whether all that was taken over must be known by that.
+        """
+        gone, sure = await self._named_by(found, but=self.id)
         best = best_of(found)
         adopted = bool(best) and any(f["adopted"] and f["generation"] == best[0] for f in found.values())
         if adopted:
             live, _ = replayed(best[1])
             gone |= {t.id for t in live}
-        return gone, adopted
+        return gone, adopted, sure
 
     def _restore(self, found, drop, adopted):
         journal = self.courier.journal
@@ -425,15 +429,20 @@
         return whole_ones(found)
 
     async def _named_by(self, found, but):
-        """Ids that stand in the copies of others who had begun to take this work over."""
-        named = set()
+        """Ids that stand in the copies of others who had begun to take this work over.
+
+        And whether these copies must hold all of them, or have been waited for long enough.
+        """
+        named, sure = set(), True
         for tried in {t for f in found.values() for t in f["tried"]} - {but}:
-            theirs = await self._ask_all({"t": "read", "owner": tried})
-            best = best_of(whole_ones(theirs))
+            theirs = whole_ones(await self._ask_all({"t": "read", "owner": tried}))
+            # Danger: what it took over and has begun to send would be sent from here as well.
+            sure = self._enough(tried, theirs, "taken over by") and sure
+            best = best_of(theirs)
             if best:
                 live, past = replayed(best[1])
                 named |= {t.id for t in live} | past
-        return named
+        return named, sure
 
     # --- the keeper ---------------------------------------------------------------------------------
 
@@ -577,7 +586,7 @@
                 open_here = self.taken.get(owner, set()) & self.courier.ids.keys()
                 if not lost or not kept.generation or kept.adopted:
                     self.since.pop(owner, None)
-                    self.unsure.pop(owner, None)
+                    self.unsure.pop(("own", owner), None)
                     if owner != self.id and not open_here:
                         self.taken.pop(owner, None)
                         await self.leases.unwant(WORK + owner)
@@ -599,24 +608,31 @@
                             mono_us=machine_us(),
                         )
 
-    def _enough(self, owner, found) -> bool:
-        """Whether what was promised must be among these copies, or has been waited for long enough."""
+    def _enough(self, owner, found, why="own") -> bool:
+        """Whether what was promised must be among these copies, or has been waited for long enough.
+
+        `why`: what they are asked for, waits for which are apart.
+        """
         newest = best_of(found)
         keepers = [f["keepers"] for f in found.values() if newest and f["generation"] == newest[0]]
         # Danger: a keeper that the owner has chosen anew may not answer, and hold what the others lack.
         if copies.enough(found, keepers, self.plan.count, self.plan.need):
+            self.unsure.pop((why, owner), None)
             return True
-        first = owner not in self.unsure
-        late = machine_us() - self.unsure.setdefault(owner, machine_us()) >= self.plan.patience_us
+        first = (why, owner) not in self.unsure
+        late = machine_us() - self.unsure.setdefault((why, owner), machine_us()) >= self.plan.patience_us
         if first or late:
             log(
                 "copies_unsure" if late else "copies_awaited",
                 id=self.id,
                 owner=owner,
+                wanted=why,
                 answered=sorted(found),
                 of=keepers,
                 mono_us=machine_us(),
             )
+        if late:
+            del self.unsure[why, owner]
         return late
 
     async def _take_over(self, owner, token):
@@ -628,7 +644,9 @@
             self.shelves[owner].kept.adopted = token
             self.shelves[owner].save()
             return
-        named = await self._named_by(found, but=self.id)
+        named, sure = await self._named_by(found, but=self.id)
+        if not sure:
+            return
         live, _ = replayed(best[1])
         # Danger: the lease may have ended while the others were asked; the owner or another may act by now.
         if self.leases.holds(WORK + owner) != token or self.barred():
