--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 test: build
 	$(PYTHON) -m pytest -n 4 -m "not stage"
-	$(PYTHON) -m pytest -n 2 --dist loadfile -m stage
+	$(PYTHON) -m pytest -n 3 -m stage
 
 lint: build
 	.venv/bin/ruff check .
