Let a wait for copies cost no attempt, and let the ledger know returns that came before a promise

The history: taken at 15.469 s, 5 ms after m3 was cut off, so never promised; six branches of 1.45 s each ended "not copied" (Courier._recorded waited no longer than a branch may take, and each MOOT is an attempt), so it was returned at 23.056 s with 17 s left; the caller, who had no OK, handed the same id in again, had OK at 23.384 s, and it was delivered. No promise was broken: the ledger counted a return that came before the promise. But a promised message would have lost its attempts in the same way, untried, with the time that copies took counted as the partner's.

Change: _recorded waits for the lease and for copies up to the message's own time, and the branch's time begins behind that; copies_late is said once a second at most. traffic.ledger counts a return, then a delivery, only after a promise.

Measured: tests/test_waits.py holds copies for 3.5 s: one attempt that succeeds and took under 1 s (without the change it fails).

--- a/pinspread/cluster/copying.py
+++ b/pinspread/cluster/copying.py
@@ -73,7 +73,7 @@
         self.sure = 0  # the token under which it is known what of this courier's work others have taken over
         self.taken = {}  # owner -> ids that were taken over; its lease is kept until they are over
         self.unsure = {}  # (what for, owner) -> since when too few copies of its work answer
-        self.loud_us = 0
+        self.loud_us = self.late_us = 0
         self.sent_bytes = 0  # of the journal, to all copies
 
     # --- what the core asks -------------------------------------------------------------------------
@@ -112,12 +112,10 @@
                     mono_us=self.loud_us,
                 )
             return True
-        log(
-            "copies_late",
-            id=self.id,
-            behind={t: self.source.behind(t, machine_us()) for t in self.targets},
-            mono_us=machine_us(),
-        )
+        if machine_us() - self.late_us > 1_000_000:  # all that waits would say so
+            self.late_us = machine_us()
+            behind = {t: self.source.behind(t, self.late_us) for t in self.targets}
+            log("copies_late", id=self.id, behind=behind, mono_us=self.late_us)
         return False
 
     def _aware(self):
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -382,9 +382,10 @@
         """With copies, record branches as started and have that copied before their transport is called."""
         if self.copies is None:
             return True
-        # Danger: each refusal counts as an attempt; what is not ours for a moment would be given up.
-        ends_us = min(branch.ends_us() for branch in branches)
-        while self.copies.barred() and self.clock.now() < ends_us and not self.stopping:
+        # Danger: each refusal counts as an attempt; what is not ours, or not copied, for a while would be
+        # given up. So the wait is bound by the messages' time, and the partner's time begins behind it.
+        until_us = min(self.clock.monotonic(branch.transaction.until_unix_us) for branch in branches)
+        while self.copies.barred() and self.clock.now() < until_us and not self.stopping:
             await anyio.sleep(WAIT_S)
         if self.copies.barred():
             return False
@@ -398,7 +399,15 @@
             except JournalFull:
                 return False
             branch.recorded = True
-        return await self.copies.settled()
+        while not await self.copies.settled():
+            if self.clock.now() >= until_us or self.stopping:
+                return False
+            await anyio.sleep(WAIT_S)
+        now_us = self.clock.now()
+        for branch in branches:
+            branch.started_us = now_us
+            branch.timeout_us = max(1, min(branch.timeout_us, until_us - now_us))
+        return True
 
     def _clear(self, branch):
         """Asked right before a branch's first byte: empty if it may be written, else why not."""
--- a/pinspread/fleet/loopback/traffic.py
+++ b/pinspread/fleet/loopback/traffic.py
@@ -185,7 +185,7 @@
             until_us = line["mono_us"] + line["for_ms"] * 1000
             taken.setdefault(id_, (line["who"], line["key"], line["mono_us"], until_us))
         elif event == "acked":
-            acked[id_] = line
+            acked.setdefault(id_, line)
         elif event == "delivered" and line["who"] == "partner":
             delivered[id_] = delivered.get(id_, 0) + 1
             first_done.setdefault(id_, line["mono_us"])
@@ -195,8 +195,12 @@
             told_us.setdefault(id_, line["mono_us"])
 
     def after(id_, state):
-        """Whether it was delivered later than such a notice."""
-        return state in finals.get(id_, ()) and last_done.get(id_, 0) > told_us[id_]
+        """Whether it was promised, then told such an end, and then delivered.
+
+        What was returned before any promise may be handed in again under its id.
+        """
+        promised = id_ in acked and acked[id_]["mono_us"] < told_us.get(id_, 0)
+        return promised and state in finals[id_] and last_done.get(id_, 0) > told_us[id_]
 
     twice = [i for i, n in delivered.items() if n > 1 and acked.get(i, {}).get("cls") == "payment"]
     disordered, last = [], {}
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -1,10 +1,14 @@
 """What a promise waits for where copies are kept, on both fronts and towards next hops, on real sockets."""
 
+from contextlib import suppress
+
 import anyio
 import pytest
 from pamqp import commands
 from standins import AmqpClient, Client, HttpStandIn, courier, standing, until
 
+from pinspread.interface import AttemptEnded, Verdict
+
 pytestmark = pytest.mark.anyio
 
 
@@ -51,6 +55,30 @@
         await until(lambda: not rig.courier.ids)
 
 
+async def test_waiting_for_copies_costs_no_attempt_and_is_not_taken_for_the_partners_time(tmp_path):
+    partner, ended = HttpStandIn(), []
+    async with standing(partner) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        copies, handle = Copies(), rig.courier.sender.handle
+
+        def heard(now_ns, events):
+            ended.extend(e for e in events if type(e) is AttemptEnded)
+            return handle(now_ns, events)
+
+        async def hand_in():
+            with suppress(anyio.EndOfStream):  # a caller does not wait so long
+                await Client(rig.address).enqueue(for_ms=9000)
+
+        rig.courier.copies, rig.courier.sender.handle = copies, heard
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(hand_in)
+            await until(lambda: copies.waited >= 2)  # the answer, and the branch
+            await anyio.sleep(3.5)  # longer than a call may take
+            copies.open.set()
+        await until(lambda: not rig.courier.ids)
+    (only,) = ended
+    assert only.verdict is Verdict.OK and only.elapsed_ns < 1_000_000_000
+
+
 async def test_what_is_not_copied_is_neither_promised_nor_sent(tmp_path):
     partner = HttpStandIn()
     async with standing(partner) as address, courier(tmp_path, hops=[(address,)]) as rig:
