--- a/tests/test_raftlog.py
+++ b/tests/test_raftlog.py
@@ -90,6 +90,12 @@
     assert log.broken
 
 
+async def leads(q):
+    with anyio.fail_after(5):
+        while not q.is_leader():
+            await anyio.sleep(0.01)
+
+
 def voter(folder, rows):
     async def run(use):
         found = quorum.Quorum(
@@ -108,9 +114,8 @@
     monkeypatch.setattr(quorum, "FIRST_S", 0)
 
     async def grant(q):
+        await leads(q)
         with anyio.fail_after(5):
-            while not q.is_leader():
-                await anyio.sleep(0.01)
             told = anyio.Event()
             q.propose("t", lease.Command(lease.GRANT, "m", 0, 7), lambda row, why: told.set())
             await told.wait()
@@ -142,9 +147,8 @@
     monkeypatch.setattr(quorum, "FIRST_S", 0)
 
     async def fail(q):
+        await leads(q)
         with anyio.fail_after(5):
-            while not q.is_leader():
-                await anyio.sleep(0.01)
             no_space_for(q.raft_log, monkeypatch)
             q.propose("t", lease.Command(lease.GRANT, "m", 0, 7), lambda row, why: None)
             while not q.raft_log.broken:
