Keep one object an endpoint, so that drains and bans reach calls that are being dialled

A branch that is dialled keeps the object it began with, and `_clear` asks that one right before the write.

Ruled out: the module (it hears of the drain and chooses right; the call was chosen before), `Pool.take` (dials only).

Mend: an endpoint listed again at the same place changes in place; one at another place ends the old object. Test, real connections, a gate in front of the dial: without the mend 4 of 4 fail, each with the call written ("assert not [(..., 'POST', '/events', ...)]", verdict OK in the log); with it 4 pass, and test_platform, test_admin and test_config (140 tests).

--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -194,8 +194,13 @@
             old = self.next_hops.get(hop.id)
             hop.listed, state = listed, self.bans.seen(hop.id, listed)
             hop.usable = state is api.ListState.READY
-            if old is not None:
-                old.usable = hop.usable  # branches that are out still name that one
+            # Danger: a branch that is dialled names the object it began with. Replaced at each list, that one
+            # would miss all but the next change, and a drain or ban would not be seen right before the write.
+            if old is not None and old.reached_as(hop):
+                old.take_over(hop)
+                hop = old
+            elif old is not None:
+                old.usable = False  # it is elsewhere by now
             self.next_hops[hop.id] = hop
             self.dests.add(hop.dest)
             entries.append(_entry(hop, state))
--- a/pinspread/core/transactions.py
+++ b/pinspread/core/transactions.py
@@ -67,6 +67,15 @@
     kind: int = 0
     listed: ListState = ListState.READY  # as the list has it; `usable` heeds bans too
 
+    def reached_as(self, other) -> bool:
+        """Whether the other is the same endpoint at the same place."""
+        return (self.scheme, self.address, self.route) == (other.scheme, other.address, other.route)
+
+    def take_over(self, other):
+        """Read as the other does, which the list has named since."""
+        for name in self.__slots__:
+            setattr(self, name, getattr(other, name))
+
 
 @dataclass(slots=True)
 class Outcome:
