--- a/pinspread/amqp/broker.py
+++ b/pinspread/amqp/broker.py
@@ -38,6 +38,8 @@
                 link = await self._link(branch.next_hop)
                 await link.unblocked.wait()
                 return await link.publish(branch, waiter)
+            if waiter.outcome or waiter.returned:  # told just before the time was up, and proven
+                return waiter.outcome or Outcome(Verdict.FULL, note="returned as unroutable")
             if waiter.written:
                 return Outcome(Verdict.TIMEOUT)
             link = self.links.get(branch.next_hop.id)
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -400,6 +400,7 @@
             if t.live_us or t.number not in self.open:
                 continue  # `clear` says why not
             try:
+                t.zone = t.zone if t.may_run_us else branch.next_hop.zone
                 self.journal.branch_started(t, branch.number, unix_us)
             except JournalFull:
                 return False
@@ -429,16 +430,29 @@
             why = "another branch is out"  # never two copies, whatever the module says
         elif hop.dest != transaction.dest:
             why = "not its partner"
+        elif not self._may_repeat(transaction, hop):
+            why = "a repeat may take effect there"
         if not why and self.copies:
             # Danger: the lease of this work may have ended while the branch was copied or dialled.
             why = self.copies.barred() or ("" if branch.recorded else "not copied")
         if not why and not branch.recorded:
             try:
+                transaction.zone = transaction.zone if transaction.may_run_us else hop.zone
                 self.journal.branch_started(transaction, branch.number, self.clock.unix(self.clock.now()))
             except JournalFull as error:
                 why = str(error)
         return why
 
+    def _may_repeat(self, t, hop):
+        """Whether a further branch does no harm there now, after one that may have run."""
+        # Danger: the module chose in time, but a dial may outlast the window in which repeats are dropped.
+        cls = t.rules.cls
+        if not t.may_run_us or cls.effect is api.Effect.REPEATABLE:
+            return True
+        in_time = self.clock.unix(self.clock.now()) < t.may_run_us + cls.window_ns // 1000
+        near = cls.group is not api.Group.ZONE or hop.zone == t.zone
+        return cls.effect is api.Effect.BY_KEY and in_time and near
+
     def _barred(self, hop):
         """Why nothing may go to a next hop at present, whatever it is."""
         if self.heir:
@@ -585,6 +599,7 @@
                 tenant=self.settings.tenants.get(t.tenant, 0),
                 attempts=t.branches,
                 may_run_ns=clock.monotonic(t.may_run_us) * 1000 if t.may_run_us else 0,
+                may_run_zone=t.zone,
                 rule=t.rules.cls,
                 max_attempts=t.rules.max_attempts,
             )
--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -21,10 +21,12 @@
 _BRANCH_END = struct.Struct("<BQBB")  # number, whether it may have run
 _FINAL = struct.Struct("<BQBI")  # state, after_ms
 _SUMMARY = struct.Struct("<BQBQQ")  # branches, first that may have run, the one that is out
+_ZONE = struct.Struct("<BQB")  # where its branch went, for those whose repeats are dropped by zone
 _TAKEN = struct.Struct("<BQH")  # length of the JSON that comes before the body
-TAKEN, BRANCH, BRANCH_END, FINAL, ENDED, SUMMARY, PAST, BAN, UNBAN, RULES = range(1, 11)
+TAKEN, BRANCH, BRANCH_END, FINAL, ENDED, SUMMARY, PAST, BAN, UNBAN, RULES, ZONE = range(1, 12)
 
-SMALL = 2 * _HEAD.size + _SUMMARY.size + _FINAL.size  # what a live transaction adds to its TAKEN record
+# What a live transaction adds to its TAKEN record.
+SMALL = 3 * _HEAD.size + _SUMMARY.size + _FINAL.size + _ZONE.size
 MOST_RECORD = 1 << 20
 TOLD = ("id", "cls", "tenant", "dest", "key", "idempotency", "until_unix_us", "front", "reply")
 
@@ -123,6 +125,8 @@
         """Before the last byte of its call is written."""
         transaction.live_us = unix_us
         transaction.branches = max(transaction.branches, number + 1)
+        if _by_zone(transaction):
+            self._append(_zone(transaction))
         self._append(_record(_BRANCH.pack(BRANCH, transaction.number, number, unix_us)))
 
     def branch_ended(self, transaction: Transaction, number: int, may_have_run: bool):
@@ -211,6 +215,10 @@
         # The latest stay, for the record that is about to name them may be what made the file too long.
         used = {t.rules for t in self.live.values()} | {self.latest}
         self.rules = {rules: n for rules, n in self.rules.items() if rules in used}
+        # Danger: what an older version took has its rules from the settings; a number that is given only while
+        # this file is being written would be named in it and told nowhere.
+        for rules in used - self.rules.keys() - {None}:
+            self.rules[rules] = max(self.rules.values(), default=0) + 1
         parts += [_rules(n, rules) for rules, n in self.rules.items()]
         for t in self.live.values():
             parts.append(self._taken(t))
@@ -239,7 +247,7 @@
 
     def _replay(self, payload):
         kind = payload[0]
-        if kind > RULES:
+        if kind > ZONE:
             # Danger: passed over, what a newer version recorded would be done again, or never.
             raise JournalUnreadable(
                 f"{self.path}: a record of kind {kind} of a newer version: start that one"
@@ -277,6 +285,8 @@
             transaction.final = Final(State(state), after_ms)
         elif kind == SUMMARY:
             *_, transaction.branches, transaction.may_run_us, transaction.live_us = _SUMMARY.unpack(payload)
+        elif kind == ZONE:
+            *_, transaction.zone = _ZONE.unpack(payload)
         elif kind == ENDED:
             del self.live[number]
             self.live_bytes -= self.sizes.pop(number)
@@ -310,7 +320,16 @@
 
 
 def _summary(t):
-    return _record(_SUMMARY.pack(SUMMARY, t.number, t.branches, t.may_run_us, t.live_us))
+    told = _record(_SUMMARY.pack(SUMMARY, t.number, t.branches, t.may_run_us, t.live_us))
+    return told + (_zone(t) if _by_zone(t) else b"")
+
+
+def _zone(t):
+    return _record(_ZONE.pack(ZONE, t.number, t.zone))
+
+
+def _by_zone(t):
+    return t.rules is not None and t.rules.cls.effect is Effect.BY_KEY and t.rules.cls.group is Group.ZONE
 
 
 def _record(payload):
--- a/pinspread/core/transactions.py
+++ b/pinspread/core/transactions.py
@@ -48,6 +48,7 @@
     branches: int = 0  # started so far, over restarts
     may_run_us: int = 0  # Unix time of the first branch that may have run; 0: none
     live_us: int = 0  # Unix time at which the branch that is out was written; 0: none is
+    zone: int = 0  # of its latest branch, and from the first on that may have run, of that one
     final: Final | None = None
     rules: Rules | None = None  # None: the journal of an older version does not say
 
--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -248,7 +248,7 @@
             self.keys.setdefault(message.key, deque()).append(message)
         # Danger: a sender that restarts with what it had taken must not repeat what may have run (rule 2).
         message.attempts = message.failures = event.attempts
-        message.may_run_ns = event.may_run_ns
+        message.may_run_ns, message.may_run_zone = event.may_run_ns, event.may_run_zone
         if message.may_run_ns and message.rule.effect is api.Effect.BY_KEY:
             heappush(self.expiry, (message.may_run_ns + message.rule.window_ns, message.request))
         if event.attempts and not self.may_repeat(message, self.now):
--- a/pinspread/interface.py
+++ b/pinspread/interface.py
@@ -199,6 +199,7 @@
     tenant: int = 0
     attempts: int = 0  # made before the sender was restarted
     may_run_ns: int = 0  # when the first of them was sent that may have run; 0: none
+    may_run_zone: int = 0  # and to which zone
     rule: TrafficClass | None = None  # what it was taken on under, where that is not `cls` of the settings
     max_attempts: int = 0  # the same for its attempts; 0: as the settings say
 
--- a/pinspread/net/http.py
+++ b/pinspread/net/http.py
@@ -236,6 +236,10 @@
         try:
             with anyio.move_on_after(self._seconds_to(ends_us)):
                 return await call(state, *arguments)
+            if state.proven:
+                # Danger: the time may end between the word that proves how it went and what is read or waited
+                # for behind it; a delivery, or a call that never ran, would pass for one that may have run.
+                return state.proven
             if state.written:
                 return Outcome(Verdict.TIMEOUT, state.wait_us, note=state.heard(self.clock.now()))
             return Outcome(Verdict.CONNECT_FAILED, note="not written in time")
@@ -284,8 +288,9 @@
         await exchange.request("POST", "/events", hop.address, headers, transaction.body)
         state.written = True
         if await exchange.status() == 200:
+            state.proven = Outcome(Verdict.OK)
             await self._rest(exchange, hop, state)
-            return Outcome(Verdict.OK)
+            return state.proven
         status, answer = await self._response(exchange, state)
         outcome = _outcome(status, answer)
         self._heed(branch, outcome.wait_us, state)
@@ -293,6 +298,7 @@
         more = bytes(exchange.more)
         if more and not more.startswith(b"HTTP/1.1 %d" % status):
             raise SpoiltError("its length does not fit")  # or noise, which cannot be told from it
+        state.proven = outcome
         self._keep(exchange, hop, state)
         if outcome.verdict is Verdict.MOOT and not outcome.over:
             # Danger: a call that was given up holds its slot there until its end is seen; tried again at
@@ -411,13 +417,24 @@
 
 
 class _Call:
-    __slots__ = ("connection", "exchange", "idle_us", "left", "limit", "opened", "wait_us", "written")
+    __slots__ = (
+        "connection",
+        "exchange",
+        "idle_us",
+        "left",
+        "limit",
+        "opened",
+        "proven",
+        "wait_us",
+        "written",
+    )
 
     def __init__(self):
         self.connection = None
         self.idle_us = -1
         self.opened = False
         self.written = False  # its last byte
+        self.proven = None  # the outcome, once the answer has shown it
         self.wait_us = 0  # told in a head, whatever became of the rest
         self.exchange = None
         self.left = self.limit = 0.0  # as the answer reports
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -7,7 +7,8 @@
 
 from pinspread.core import journal as journal_module
 from pinspread.core.journal import Journal, JournalFull, records
-from pinspread.core.transactions import Final, State, Transaction
+from pinspread.core.transactions import Final, Rules, State, Transaction
+from pinspread.interface import TrafficClass
 
 
 def message(number, body=b"body", **more):
@@ -125,3 +126,13 @@
     with pytest.raises(journal_module.JournalUnreadable, match="kind 99"):
         Journal(str(tmp_path), 3_000_000).open()
     assert path.read_bytes() == before  # nothing was written over it
+
+
+def test_rules_that_the_settings_gave_to_an_older_versions_message_stand_in_the_next_file(tmp_path):
+    journal, _ = opened(tmp_path)
+    journal.taken(message(1))
+    t = journal.live[1]
+    t.rules = Rules(TrafficClass(aim_ns=1, deadline_ns=2), 3)  # as at the start that recovers it
+    journal._rewrite()
+    journal.close()
+    assert opened(tmp_path)[1][0].rules == t.rules
