Remember over two kills in a row what may have run before the first

After the second start nothing may have run.

Mend: a branch record over one that has no end says that the former may have run.

--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -215,7 +215,7 @@
         # The latest stay, for the record that is about to name them may be what made the file too long.
         used = {t.rules for t in self.live.values()} | {self.latest}
         self.rules = {rules: n for rules, n in self.rules.items() if rules in used}
-        # Danger: what an older version took has its rules from the settings; a number that is given only while
+        # Danger: what an older version took has its rules from the settings; a number given only while
         # this file is being written would be named in it and told nowhere.
         for rules in used - self.rules.keys() - {None}:
             self.rules[rules] = max(self.rules.values(), default=0) + 1
@@ -276,6 +276,8 @@
             return
         if kind == BRANCH:
             *_, n, unix_us = _BRANCH.unpack(payload)
+            # Danger: one that was out at a kill has no end here, and the next would hide that it may have run.
+            transaction.may_run_us = transaction.may_run_us or transaction.live_us
             transaction.branches = max(transaction.branches, n + 1)
             transaction.live_us = unix_us
         elif kind == BRANCH_END:
