--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -276,7 +276,7 @@
             return
         if kind == BRANCH:
             *_, n, unix_us = _BRANCH.unpack(payload)
-            # Danger: one that was out at a kill has no end here, and the next would hide that it may have run.
+            # Danger: one that was out at a kill has no end here; the next would hide that it may have run.
             transaction.may_run_us = transaction.may_run_us or transaction.live_us
             transaction.branches = max(transaction.branches, n + 1)
             transaction.live_us = unix_us
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,14 +1,17 @@
 """Events that cross: each test forces the bad order on real connections (docs/crossings.md has the list)."""
 
 import dataclasses
+import time
+from contextlib import asynccontextmanager, suppress
 
 import anyio
+import orjson
 import pytest
-from standins import Client, HttpStandIn, courier, standing, until
+from standins import Client, HttpStandIn, courier, host, listener, standing, until
 
 from pinspread.core.transactions import NextHop, Rules
 from pinspread.interface import Group, ListScope, ListState
-from pinspread.net import http
+from pinspread.net import discovery, http, sockets
 
 pytestmark = pytest.mark.anyio
 
@@ -109,3 +112,155 @@
                 rig.courier.learn(ListScope.DELTA, [(NextHop("near", near, 1, zone=0), ListState.READY)])
                 await until(lambda: not rig.courier.ids)
     assert not hops[1].requests and len(hops[0].requests) == 2
+
+
+class Agent:
+    """Discovery whose watches the test writes to byte by byte; `asked` has each one's target."""
+
+    def __init__(self):
+        self.sock, self.address = listener()
+        self.asked, self.watches = [], []
+
+    async def run(self):
+        async with anyio.create_task_group() as tasks:
+            await sockets.accept_forever(self.sock, tasks, self.serve)
+
+    async def serve(self, connection):
+        self.asked.append((await connection.read()).split()[1].decode())
+        self.watches.append(connection)
+        while await connection.read():
+            pass
+
+    def say(self, n, text=b"", head=False):
+        """Write to watch n at once, as one segment."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" if head else b""
+        self.watches[n].sock.send(head + (b"%x\r\n%s\r\n" % (len(text), text) if text else b""))
+
+
+def told(seq, *hosts, whole=True):
+    return orjson.dumps({"seq": seq, "whole": whole, "hosts": hosts})
+
+
+@asynccontextmanager
+async def watched(tmp_path, monkeypatch, faster=10):
+    """A courier and its agent, with the watch's times cut to a tenth."""
+    for name in ("LINE_S", "FIRST_S", "HEAD_S", "TRY_S", "AGAIN_S"):
+        monkeypatch.setattr(discovery, name, getattr(discovery, name) / faster)
+    agent = Agent()
+    async with courier(tmp_path, agent.address) as rig:
+        rig.tasks.start_soon(agent.run)
+        watch = discovery.Discovery(agent.address, rig.courier, rig.courier.settings)
+        rig.tasks.start_soon(watch.run)
+        await until(lambda: agent.watches)
+        yield rig, agent, watch
+    agent.sock.close()
+
+
+S1 = host("s-1", "127.0.0.1:9")
+GONE = S1 | {"health": "gone"}
+
+
+@pytest.mark.parametrize("how", ["no head", "head only", "first line only", "half a line", "a trickle"])
+async def test_a_watch_that_is_silent_is_opened_anew_and_again_before_what_it_missed_counts(
+    tmp_path, monkeypatch, how
+):
+    async with watched(tmp_path, monkeypatch) as (rig, agent, _):
+        start = time.monotonic()
+
+        async def trickle(n):
+            with suppress(OSError):  # it is closed once another one is up
+                for byte in told(2, GONE) * 40:
+                    agent.say(n, bytes([byte]))
+                    await anyio.sleep(0.02)
+
+        for n in range(2):  # the first watch is silent, and so is the one that follows it
+            await until(lambda n=n: len(agent.watches) > n)
+            if how != "no head":
+                agent.say(n, head=True)
+            if how in ("first line only", "half a line"):
+                agent.say(n, told(1, S1) + b"\n")
+            if how == "half a line":
+                agent.say(n, told(2, GONE)[:40])
+            if how == "a trickle":
+                rig.tasks.start_soon(trickle, n)
+        await until(lambda: len(agent.watches) > 2)
+        last = len(agent.watches) - 1
+        agent.say(last, told(2, S1 | {"health": "draining"}) + b"\n", head=True)
+        await until(lambda: "s-1" in rig.courier.next_hops and not rig.courier.next_hops["s-1"].usable)
+        assert 10 * (time.monotonic() - start) < 6.0  # the first was silent from its first moment on
+
+
+async def test_an_agent_that_was_away_is_heard_whether_it_answers_who_waits_or_who_asks_then(
+    tmp_path, monkeypatch
+):
+    async with watched(tmp_path, monkeypatch) as (rig, agent, _):
+        await until(lambda: len(agent.watches) == 3)  # while it is away they are opened beside each other
+        agent.say(0, told(1, S1) + b"\n", head=True)  # the one that has waited longest
+        await until(lambda: rig.courier.next_hops)
+        seen = len(agent.asked)
+        await anyio.sleep(0.1)
+        assert len(agent.asked) <= seen + 1  # one that was on its way; it is followed, no more are opened
+
+
+@pytest.mark.parametrize("how", ["moved", "silent"])
+async def test_late_bytes_of_an_old_watch_do_not_undo_the_newer_list(tmp_path, monkeypatch, how):
+    async with watched(tmp_path, monkeypatch) as (rig, agent, watch):
+        agent.say(0, told(5, S1) + b"\n", head=True)
+        await until(lambda: rig.courier.next_hops)
+        new, at = agent, 1
+        if how == "moved":
+            new, at = Agent(), 0
+            rig.tasks.start_soon(new.run)
+            watch.move(new.address)
+        await until(lambda: len(new.watches) > at)
+        # Both are there before the courier reads either; the newer one's are first.
+        new.say(at, told(9, S1 | {"health": "draining"}) + b"\n", head=True)
+        agent.say(0, told(6, S1, whole=False) + b"\n")
+        await until(lambda: watch.seq == 9)
+        await anyio.sleep(0.05)
+        assert not rig.courier.next_hops["s-1"].usable and watch.seq == 9
+        new.sock.close()
+
+
+async def test_a_watch_may_indent_its_lists_over_several_lines(tmp_path, monkeypatch):
+    async with watched(tmp_path, monkeypatch) as (rig, agent, watch):
+        news = {"seq": 5, "whole": True, "hosts": [host('"s-{[1\\"', "127.0.0.1:9"), S1]}
+        agent.say(0, b"\n" + orjson.dumps(news, option=orjson.OPT_INDENT_2) + b"\n\n", head=True)
+        await until(lambda: len(rig.courier.next_hops) == 2 and watch.seq == 5)
+        assert len(agent.asked) == 1
+
+
+BAD_PARTS = [
+    {"host": ["x"]},
+    {"host": 7},
+    {"host": ""},
+    {"dial": 9},
+    {"dial": "nowhere"},
+    {"block": "1"},
+    {"block": -1},
+    {"share": "nan"},
+    {"share": -1},
+    {"site": {}},
+    {"health": []},
+]
+
+
+@pytest.mark.parametrize("bad", BAD_PARTS)
+async def test_a_list_with_parts_of_other_types_is_logged_and_ends_nothing(tmp_path, monkeypatch, bad):
+    logged = []
+    monkeypatch.setattr(discovery, "log", lambda event, **_: logged.append(event))
+    async with watched(tmp_path, monkeypatch) as (rig, agent, _):
+        entry = host("s-2", "127.0.0.1:9") | bad
+        agent.say(0, told(5, S1) + b"\n" + told(6, entry, whole=False) + b"\n", head=True)
+        agent.say(0, told(7, S1 | {"health": "gone", "dial": None}, whole=False) + b"\n")
+        await until(lambda: not rig.courier.next_hops)  # what it says of one that is known still counts
+        assert await Client(rig.address).say("PING") == "+PONG\r\n"
+    assert logged.count("malformed_host") == 2
+
+
+@pytest.mark.parametrize("seq", ["a b", -1, None, 1.5])
+async def test_a_version_that_is_no_number_breaks_the_watch_and_not_the_courier(tmp_path, monkeypatch, seq):
+    async with watched(tmp_path, monkeypatch) as (rig, agent, _):
+        agent.say(0, told(seq, S1) + b"\n", head=True)
+        await until(lambda: len(agent.watches) == 2)
+        assert await Client(rig.address).say("PING") == "+PONG\r\n"
