Answer what has come before the process ends, and hear signals from the first moment to the last

New `RespFront.close`: listener closed, what has come answered, each leg told its end while its client's bytes are read. It may take 0.3 s, so the drain before it is 3.0 s instead of 3.2 s. Tests: each fails without the mend but for the request that comes while `stop` returns, which was answered before too and stays as a guard.

--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -68,8 +69,11 @@
         else:
             from pinspread.net import platform
 
-            signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a configuration to read again
-            anyio.run(platform.serve, settings.at_start(), settings.amqp_file(), reread)
+            # Until it can be heeded: noted, for it may come after the file has been read.
+            early = []
+            signal.signal(signal.SIGHUP, lambda *_: early.append(True))
+            serve = partial(platform.serve, early=early)
+            anyio.run(serve, settings.at_start(), settings.amqp_file(), reread)
     except settings.SettingsError as error:
         print(error, file=sys.stderr)
         return 2
@@ -165,6 +169,8 @@
     from pinspread.config import application, dnssd
     from pinspread.net import platform
 
+    early = []
+    signal.signal(signal.SIGHUP, lambda *_: early.append(True))
     file = application.load(path)
     Path(file.journal.folder).mkdir(parents=True, exist_ok=True)
     amqp = settings.AmqpFile(file.listen.amqp, file.listen.heartbeat_s)
@@ -190,9 +196,9 @@
         from pinspread.cluster.copying import Copies
 
         companions.append(Copies(file.copies.plan(file.journal.folder), *companions[:2]))
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     told = application.told(file)
-    anyio.run(platform.serve, told, amqp, again, discover, file.brokers.login(), companions)
+    serve = partial(platform.serve, early=early)
+    anyio.run(serve, told, amqp, again, discover, file.brokers.login(), companions)
 
 
 if __name__ == "__main__":
--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -15,7 +15,7 @@
 SECOND_US = 1_000_000
 BUSY_MS = 1000  # when to come back if there is no room: about the wait that callers choose themselves
 PROBE_US = 1_500_000
-DRAIN_US = 3_200_000  # after SIGTERM: the process is killed 3.7 s after it
+DRAIN_US = 3_000_000  # after SIGTERM: the process is killed 3.7 s after it, and legs are closed behind this
 WAIT_S = 0.02  # between looks at whether copies bar what waits for them
 LINGER_US = 500_000  # new callers keep arriving for a while and must hear a busy answer
 
--- a/pinspread/net/front.py
+++ b/pinspread/net/front.py
@@ -19,6 +19,7 @@
 MOST_ERRORS = 8  # malformed commands after which a caller leg is closed
 ERROR_S = 0.02  # rest of a leg after each, and longer from one to the next
 MOST_PING = 1024
+CLOSE_S = 0.15  # at the end of the process: for answers, and for clients to end their legs
 TAKEN = b"+OK\r\n"
 
 
@@ -33,19 +34,45 @@
         self.notices = notices
         self.room = room or Room(courier.clock)
         self.scope = None  # of what `run` has started
+        self.accepting = None  # the scope of the task that accepts
+        self.sock = None
         self.over = anyio.Event()
         self.kept = None  # legs that are to go to another process, while they are collected
 
     async def run(self, sock, legs=()):
         """Accept and serve until cancelled, or parted; `legs` are Kept, from another process or time."""
-        self.over = anyio.Event()
+        self.over, self.sock = anyio.Event(), sock
         async with anyio.create_task_group() as tasks:
             self.scope = tasks.cancel_scope
             for kept in legs:
                 tasks.start_soon(in_room, self.room, self.serve, kept.connection, kept)
-            await accept_forever(sock, tasks, self.serve, self.room)
+            with anyio.CancelScope() as self.accepting:
+                await accept_forever(sock, tasks, self.serve, self.room)
         self.over.set()
 
+    async def close(self):
+        """The process ends: answer what has come, say on each leg that no more will, and wait briefly."""
+        # Danger: a process that ends with a whole command unread resets its connection, and the client has
+        # no answer. What crosses this end is sent once more elsewhere, for its client sees the end first.
+        if self.sock is None or self.scope.cancel_called:
+            return
+        with anyio.move_on_after(CLOSE_S):
+            await anyio.sleep(0)  # newcomers that wait are accepted, and heard
+            self.accepting.cancel()
+            self.sock.close()  # who comes now is refused, and nobody waits in its queue
+            legs = {leg.connection: leg for leg in self.room.legs.values() if not leg.kept}
+            while legs:
+                for connection, leg in list(legs.items()):
+                    if connection not in self.room.legs:
+                        del legs[connection]
+                    elif not leg.half and connection.quiet():
+                        connection.finish()
+                        del legs[connection]
+                await anyio.sleep(0.005)
+        with anyio.move_on_after(CLOSE_S):
+            while any(not leg.kept for leg in self.room.legs.values()):
+                await anyio.sleep(0.005)
+
     async def part(self) -> list:
         """Stop accepting and reading, and give all legs that can go on elsewhere, as Kept."""
         self.kept = []
--- a/pinspread/net/platform.py
+++ b/pinspread/net/platform.py
@@ -1,5 +1,6 @@
 """Assembles a courier: the core with its fronts, transports, discovery and notices."""
 
+import errno
 import os
 import signal
 import socket
@@ -21,6 +22,7 @@
 from pinspread.net.discovery import Discovery
 from pinspread.net.http import HttpTransport, Pool
 
+BOUND_S, BOUND_TRIES = 0.05, 40  # between tries to listen where another process still does
 OWNER_S = 5.0  # how long a start waits for a process that still owns the folder
 HANDED_S = 10.0  # how long a process that has handed over waits for its SIGTERM
 FIRST_LIST_S = 0.3  # how long a start waits for the list as it is now, before it sends what is owed
@@ -28,19 +30,20 @@
 
 
 async def serve(
-    told: settings.Told, amqp: settings.AmqpFile, reread, discover=None, login=GUEST, companions=()
+    told: settings.Told, amqp: settings.AmqpFile, reread, discover=None, login=GUEST, companions=(), early=()
 ):
     """Serve until SIGTERM or SIGINT; on SIGHUP, `reread(told)` tells what counts from now on.
 
-    `discover(courier)` makes another discovery than the platform's; `companions` run beside serving.
+    `discover(courier)` makes another discovery than the platform's; `companions` run beside serving;
+    `early` is not empty if SIGHUP came since before the configuration was read.
     """
-    await Service(told, amqp, reread, discover, login, companions).run()
+    await Service(told, amqp, reread, discover, login, companions, early).run()
 
 
 class Service:
     """One process: its parts, and how they begin, rest and end."""
 
-    def __init__(self, told, amqp, reread, discover, login, companions=()):
+    def __init__(self, told, amqp, reread, discover, login, companions=(), early=()):
         self.told, self.amqp, self.login = told, amqp, login
         self.companions = list(companions)
         self.clock = clock = Clock()
@@ -63,6 +66,7 @@
         self.tasks = None
         self.scopes = []  # of what rests while another process takes over
         self.signals = None
+        self.early = early
         self.again = False  # SIGHUP came before there was anything to change
         self.leaving = anyio.Event()
         self.at_rest = False
@@ -75,15 +79,18 @@
         # Danger: a signal without a receiver ends the process and all that it serves.
         wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*wanted) as self.signals:
+            # Danger: one that came between the reading of the file and this line would never be heeded.
+            self.again = bool(self.early)
             async with anyio.create_task_group() as self.tasks:
                 for sock in doors:
                     self.tasks.start_soon(door(self.courier, self.told.sockets, self.companions).run, sock)
+                # Danger: SIGTERM may come while another process still owns the folder, for seconds.
+                self.tasks.start_soon(self._follow_signals)
                 try:
                     await self._begin()
                 except (JournalFull, JournalUnreadable, OSError) as error:
                     failed = error
                 else:
-                    self.tasks.start_soon(self._follow_signals)
                     await self.leaving.wait()
                     await self._leave()
                 self.tasks.cancel_scope.cancel()
@@ -108,14 +115,14 @@
             tasks.start_soon(companion.run)
         courier.transports["amqp"] = BrokerTransport(self.clock, tasks, told.dial_us, self.login)
         before = await self._take_over()
-        if self.leaving.is_set():
-            return
+        if self.leaving.is_set() and not before:
+            return  # all that is owed is in the journal
         legs, sockets_ = (before.legs, before.sockets) if before else ((), {})
         # From here on PING is answered: all that is owed is known again.
         if told.listen:
-            self.listening[front.NAME] = inherited(told.passed) or sockets.listen(told.listen)
+            self.listening[front.NAME] = inherited(told.passed) or await self._listen(told.listen)
         if self.amqp.listen:
-            self.listening[AMQP] = sockets_.get(AMQP) or sockets.listen(self.amqp.listen)
+            self.listening[AMQP] = sockets_.get(AMQP) or await self._listen(self.amqp.listen)
         settings.keep_good(told)
         self._follow()
         if not before:
@@ -127,6 +134,8 @@
             tasks.start_soon(run)
         self._hear(legs)
         courier.serving = True
+        if self.again and not courier.heir:
+            self.change()
         log("serving", name=told.name, listen=told.listen, amqp=self.amqp.listen, admin=told.admin)
         if told.passed is not None:
             from pinspread.net import succession
@@ -145,10 +154,10 @@
             before = await succession.inherit(told.state, self.owner, courier.journal, courier.sender)
         else:
             await self._own()
-            if self.companions:
+            if self.companions and not self.leaving.is_set():
                 await self._before_recovery()
-                if self.leaving.is_set():
-                    return None
+            if self.leaving.is_set():
+                return None  # Danger: it may not own the folder, and must not write there
         if before is None or before.state is None:
             self.discovery.start()
             courier.recover()
@@ -162,11 +171,8 @@
         """Have companions know what is owed, which takes others that answer; SIGTERM ends that."""
 
         async def follow(scope):
-            async for signum in self.signals:
-                if signum != signal.SIGHUP:
-                    self.leaving.set()
-                    scope.cancel()
-                self.again = True
+            await self.leaving.wait()
+            scope.cancel()
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(follow, tasks.cancel_scope)
@@ -178,7 +184,7 @@
         # Danger: a process that is ending may still write to the journal; two would tear it.
         try:
             with anyio.fail_after(OWNER_S):
-                while not self.owner.take():
+                while not self.owner.take() and not self.leaving.is_set():
                     await anyio.sleep(0.02)
         except TimeoutError:
             raise OSError(f"{self.told.state}: another process owns it; end that one first") from None
@@ -199,12 +205,24 @@
             self.scopes.append(scope)
             self.tasks.start_soon(_within, scope, self.second.run, self.listening[AMQP])
 
+    async def _listen(self, address):
+        """A listening socket; a process that is just ending may still hold the address."""
+        for _ in range(BOUND_TRIES):
+            try:
+                return sockets.listen(address)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or self.leaving.is_set():
+                    raise
+                log("address_in_use", address=address)
+                await anyio.sleep(BOUND_S)
+        return sockets.listen(address)
+
     async def _follow_signals(self):
-        if self.again:
-            self.change()
         async for signum in self.signals:
             if signum != signal.SIGHUP:
                 self.leaving.set()
+            elif not self.courier.serving:
+                self.again = True  # there is nothing to change yet
             elif not self.courier.heir:
                 # A new configuration counts to the end: the notices of a courier that stops are still owed.
                 self.change()
@@ -219,6 +237,7 @@
         if not self.courier.heir:
             await self.courier.stop()
             await self.second.close()
+            await self.first.close()
             return
         with anyio.move_on_after(FINISH_S):
             while self.courier.branches or self.courier.probes or self.courier.heir.queue:
--- a/pinspread/net/sockets.py
+++ b/pinspread/net/sockets.py
@@ -130,6 +130,8 @@
             if leg.kept:
                 continue
             idle = leg.spoke and not leg.half
+            if idle and not leg.connection.quiet():
+                continue  # Danger: its next command is there already; ended now, it would have no answer
             if now_us - leg.since_us > (LONG_IDLE_US if idle else FIRST_US):
                 # Danger: a command that was half sent, or never begun, is owed an answer or a close in time.
                 if leg.word and not idle:
@@ -183,9 +185,10 @@
             await anyio.wait_readable(sock)
             continue
         except OSError as error:
-            if error.errno not in (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED):
+            # Danger: accept also tells what befell a newcomer on its way, by any of the network's errors.
+            if error.errno in (errno.EBADF, errno.EINVAL, errno.ENOTSOCK):
                 raise
-            await anyio.sleep(0.05)  # out of descriptors: those in use must not be lost
+            await anyio.sleep(0.05)  # out of descriptors, or memory: those in use must not be lost
             continue
         try:
             connection = Connection(peer)
@@ -283,6 +286,13 @@
         except OSError:
             return True
 
+    def finish(self):
+        """Say that nothing more will come; what the other side still sends is read as before."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
     def say(self, data):
         """Write a short last word if the other side takes it at once."""
         try:
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -1,8 +1,20 @@
 """Restarts with messages open: what was out, what was untried, and what is remembered over two in a row."""
 
+import errno
+from contextlib import asynccontextmanager, suppress
+from types import SimpleNamespace
+
 import anyio
 import pytest
-from standins import Client, HttpStandIn, courier, standing, until
+from standins import Client, HttpStandIn, configuration, courier, listener, own_address, standing, until
+
+from pinspread.amqp.broker import GUEST
+from pinspread.config import settings
+from pinspread.core.journal import Journal
+from pinspread.core.owner import Owner
+from pinspread.net import platform as platform_module
+from pinspread.net import sockets
+from pinspread.net.platform import Service
 
 pytestmark = pytest.mark.anyio
 
@@ -25,3 +37,166 @@
         async with courier(tmp_path) as rig:
             t = rig.courier.ids["id1"]
             assert (t.may_run_us, t.branches) == (written_us, 2)
+
+
+def service(folder, platform, **more):
+    """The parts of a process, in this one; `leaving` stands for SIGTERM."""
+    told = settings.read(configuration(folder) | {"listen": own_address(), "discovery": platform}, {})
+    return Service(told, settings.AmqpFile(), lambda last: pytest.fail("no SIGHUP"), None, GUEST, **more)
+
+
+@asynccontextmanager
+async def running(parts):
+    done = anyio.Event()
+
+    async def run():
+        await parts.run()
+        done.set()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(run)
+        yield done
+        tasks.cancel_scope.cancel()
+
+
+def command(*words):
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(w), w) for w in words)
+
+
+ENQUEUE = command(b"ENQUEUE", b"0", b"late", b"c=payment,t=north,d=5000,dest=1", b"x")
+
+
+@pytest.mark.parametrize("known", [True, False])
+async def test_a_whole_request_that_comes_in_the_last_moment_before_the_end_has_its_answer(tmp_path, known):
+    async with standing(HttpStandIn(lambda request: (204, [], b""))) as platform:
+        parts = service(tmp_path, platform)
+        async with running(parts) as done:
+            await until(lambda: parts.courier.serving)
+            leg = await sockets.dial(parts.told.listen)
+            if known:
+                await leg.write(command(b"PING"))
+                assert await leg.read() == b"+PONG\r\n"
+            idle = await sockets.dial(parts.told.listen)
+            half = await sockets.dial(parts.told.listen)
+            await half.write(ENQUEUE[:-5])
+            stop = parts.courier.stop
+
+            async def stopped():
+                await stop()
+                leg.sock.send(ENQUEUE)  # it is in the kernel, unread, when the process is about to end
+
+            parts.courier.stop = stopped
+            parts.leaving.set()
+            await done.wait()
+            heard = b""
+            while piece := await leg.read():  # never a reset
+                heard += piece
+            assert heard == b"-BUSY 2000\r\n"
+            assert await idle.read() == b""
+    assert not list(Journal(str(tmp_path), 3_000_000).open())  # neither it nor the half one was taken on
+
+
+async def test_the_end_of_the_process_comes_only_after_its_legs_have_seen_their_ends(tmp_path):
+    sent = []
+    async with standing(HttpStandIn(lambda request: (204, [], b""))) as platform:
+        parts = service(tmp_path, platform)
+        async with running(parts) as done:
+            await until(lambda: parts.courier.serving)
+            leg = await sockets.dial(parts.told.listen)
+            await leg.write(command(b"PING"))
+            assert await leg.read() == b"+PONG\r\n"
+            tasks = parts.tasks
+
+            def last_moment():
+                if leg.quiet():  # this client has not seen the end: it may still ask
+                    sent.append(leg.sock.send(ENQUEUE))
+                tasks.cancel_scope.cancel()
+
+            scope = SimpleNamespace(cancel=last_moment)
+            parts.tasks = SimpleNamespace(start_soon=tasks.start_soon, cancel_scope=scope)
+            parts.leaving.set()
+            await done.wait()
+            with suppress(ConnectionResetError):
+                assert await leg.read() == b""
+    assert not sent  # whatever it asks then is answered by nobody
+
+
+async def test_a_leg_whose_next_command_is_there_is_not_ended_for_having_been_idle(tmp_path, monkeypatch):
+    async with courier(tmp_path, hops=[("127.0.0.1:1",)]) as rig:
+        leg = await sockets.dial(rig.address)
+        await leg.write(command(b"PING"))
+        assert await leg.read() == b"+PONG\r\n"
+        room = rig.courier.fronts["resp"].room
+        monkeypatch.setattr(sockets, "LONG_IDLE_US", -1)  # it has been idle for too long just now
+        leg.sock.send(ENQUEUE)
+        room.sweep()
+        assert await leg.read() == b"+OK\r\n"
+
+
+async def test_sigterm_is_heard_while_another_process_owns_the_folder(tmp_path):
+    async with standing(HttpStandIn(lambda request: (204, [], b""))) as platform:
+        other = Owner(str(tmp_path))
+        assert other.take()
+        parts = service(tmp_path, platform)
+        async with running(parts) as done:
+            await until(lambda: parts.signals)
+            parts.leaving.set()
+            with anyio.fail_after(1):
+                await done.wait()
+        assert not (tmp_path / "journal").exists()  # it never wrote there
+        other.leave()
+
+
+async def test_sighup_between_the_reading_of_the_file_and_the_receiver_is_heeded(tmp_path):
+    async with standing(HttpStandIn(lambda request: (204, [], b""))) as platform:
+        parts = service(tmp_path, platform, early=[True])
+        changed = []
+        parts.change = lambda: changed.append(parts.courier.serving)
+        async with running(parts):
+            await until(lambda: changed)
+    assert changed == [True]
+
+
+async def test_an_address_that_the_process_before_still_holds_is_waited_for(tmp_path, monkeypatch):
+    async with standing(HttpStandIn(lambda request: (204, [], b""))) as notices:
+        parts = service(tmp_path, notices)
+        before = sockets.listen(parts.told.listen)
+        said = []
+
+        def heard(event, **more):
+            said.append(event)
+            if event == "address_in_use":
+                before.close()  # now that the new one has met it
+
+        monkeypatch.setattr(platform_module, "log", heard)
+        async with running(parts):
+            await until(lambda: parts.courier.serving)
+    assert "address_in_use" in said
+
+
+async def test_an_error_of_the_network_at_accept_ends_nothing():
+    sock, address = listener()
+
+    class Faulty:
+        errors = [errno.EPROTO, errno.ENETDOWN, errno.ENOMEM, errno.EPERM]
+
+        def accept(self):
+            if self.errors:
+                raise OSError(self.errors.pop(), "on its way")
+            return sock.accept()
+
+        def fileno(self):
+            return sock.fileno()
+
+    served = []
+
+    async def serve(connection):
+        served.append(connection)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(sockets.accept_forever, Faulty(), tasks, serve)
+        client = await sockets.dial(address)
+        await until(lambda: served)
+        tasks.cancel_scope.cancel()
+    client.close()
+    sock.close()
