Try what a restart found taken on and untried, past our own paces once half its time is over

Cause: decide.py `hand_out` gives a message up whose waits (pace of one of 200 couriers, untold waits after refusals) are longer than its time, and `give_up_late` lets the longest queue go when places run short; a killed fleet holds more than its paces let out. Such a message, untried, is given up early only for a told wait, never for room, and once half of its time is over it waits for no pace and no untold wait. Told waits, drains, looks at outages, ramps, keys, slots and the bucket hold as before. Test in tests/test_decide.py: without the change MessageTaken knows no `owed`, and the message is given up at once.

--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -90,7 +90,7 @@
             else:
                 self.open[t.number] = t
                 if t.number not in known:
-                    self._hand_to_module(t)
+                    self._hand_to_module(t, owed=True)
 
     def unknown(self, cls, tenant, dest) -> str:
         """What of a message nothing can be decided for; empty if all is known."""
@@ -159,7 +159,7 @@
                 self.tasks.start_soon(self._notify, t)
             else:
                 self.open[t.number] = t
-                self._hand_to_module(t)
+                self._hand_to_module(t, owed=True)
         return count_
 
     def disown(self, ids) -> int:
@@ -587,7 +587,7 @@
         except JournalFull as error:
             log("journal_full", error=str(error))  # the next rewrite holds what memory holds
 
-    def _hand_to_module(self, t):
+    def _hand_to_module(self, t, owed=False):
         clock = self.clock
         self.post(
             api.MessageTaken(
@@ -602,6 +602,7 @@
                 may_run_zone=t.zone,
                 rule=t.rules.cls,
                 max_attempts=t.rules.max_attempts,
+                owed=owed,
             )
         )
 
--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -74,6 +74,7 @@
 DRAINED = 0.6  # share of a kind's refusals with little left of the limit, from which they count against it
 GONE_KEPT_NS = 10 * SECOND  # what an endpoint taught stays for so long after it is gone, for its successor
 MOOT_STEP = 2  # the step of the backoff after a probe that could not be sent: 160 ms in the middle
+OWED_WAIT = 0.5  # share of its time left after which what a restart found untried waits for told waits only
 CREEP = 1.0  # calls a second, over all senders, to a cold destination that nothing is known of
 
 
@@ -91,12 +92,8 @@
         self.expiry = []  # heap of (when a held message's time is over, its request)
         self.keys = {}  # key -> messages in the order taken
         self.rests = {}  # key -> until when it rests
-        self.calls_out = 0
-        self.turn = 0
-        self.timer_ns = NEVER
-        self.wake_ns = NEVER
-        self.tag = 0
-        self.now = 0
+        self.calls_out = self.turn = self.tag = self.now = 0
+        self.timer_ns = self.wake_ns = NEVER
         self.actions = []
         self.ask_ns = NEVER  # when to ask for the list's changes
         self.asks = 0  # asks since the last good answer; the first may still be to come
@@ -115,8 +112,7 @@
     def handle(self, now_ns, events):
         """Take the events of one turn and give the actions, in order."""
         self.now = now_ns
-        self.actions = []
-        self.unused = {}
+        self.actions, self.unused = [], {}
         for event in events:
             kind = type(event)
             if kind is api.AttemptEnded:
@@ -241,6 +237,7 @@
         destination = self.destination(event.destination)
         message = Message(event, event.rule or self.settings.classes[event.cls], destination, self.now)
         message.most = event.max_attempts or self.settings.max_attempts
+        message.due_ns = self.now + int(OWED_WAIT * (message.deadline_ns - self.now)) if event.owed else NEVER
         self.messages[message.request] = message
         heappush(self.expiry, (message.deadline_ns, message.request))
         self.enqueue(message)
@@ -405,10 +402,8 @@
                         self.mark_down(sibling)
             if verdict is api.Verdict.TIMEOUT:
                 endpoint.stretch = min(endpoint.stretch * 2, MOST_STRETCH)
-            if endpoint.doubt > DOUBT:
-                self.mark_down(endpoint)
-            else:
-                self.next_trial(endpoint)
+            endpoint.down |= endpoint.doubt > DOUBT
+            self.next_trial(endpoint)
             return
         shut = line.refusals >= SHUT_AFTER and self.now - line.refused_since_ns > SHUT_SPAN_NS
         line.refusals = 0
@@ -529,12 +524,10 @@
         if sent_ns < line.refused_ns:
             return  # sent before the last refusal was known: the same one
         line.refused_ns = self.now
-        if not line.refusals:
-            line.refused_since_ns = self.now
+        line.refused_since_ns = line.refused_since_ns if line.refusals else self.now
         if endpoint.down:
             self.mark_down(endpoint)
-        # Danger: where refused calls use up the limit too, early retries keep it used up for all. Where they
-        # do not, few refusals of the kind tell of little left.
+        # Danger: where refused calls use up the limit too, early retries keep it used up for all.
         low = bool(line.limit) and line.left < LITTLE_LEFT
         share = self.drained.get(endpoint.kind, 0.8)
         share = self.drained[endpoint.kind] = share + CROWD_GAIN * (low - share)
@@ -603,12 +596,12 @@
 
     # --- the gate ---------------------------------------------------------------------------------
 
-    def opens(self, endpoint):
+    def opens(self, endpoint, due=False):
         """From when an endpoint may be called: drains, told and untold waits, pace, trials and ramp."""
         if not endpoint.usable:
             return NEVER  # rule 3
         line = endpoint.line
-        at = max(line.told_ns, line.wait_ns, line.next_ns)  # rule 5
+        at = line.told_ns if due else max(line.told_ns, line.wait_ns, line.next_ns)  # rule 5
         if endpoint.down:
             looks = max((self.look_over(e) for e in self.siblings(endpoint) if e.down), default=0)
             return max(at, endpoint.trial_ns, looks)
@@ -621,9 +614,13 @@
                 at = max(at, self.look_over(endpoint))
         return at
 
-    def opening(self, destination):
+    def opening(self, destination, due=False):
         """From when any endpoint of a destination may be called."""
-        return min(map(self.opens, destination.endpoints.values()), default=NEVER)
+        return min((self.opens(e, due) for e in destination.endpoints.values()), default=NEVER)
+
+    def due(self, messages):
+        """Whether one was owed before a restart, is untried, and waits for told waits only by now."""
+        return any(m.due_ns <= self.now and not m.attempts for m in messages)
 
     def quiet(self, endpoint):
         """How long it may take to answer while all is well."""
@@ -662,7 +659,7 @@
         return (
             not message.out
             and self.may_repeat(message, self.now)
-            and self.opens(endpoint) <= self.now
+            and self.opens(endpoint, self.due([message])) <= self.now
             and self.message_opens(message) <= self.now
         )
 
@@ -672,7 +669,7 @@
         """Hand free slots to destinations, fewest calls out first; give when to look again."""
         self.give_up_late()
         self.wake_ns = NEVER
-        ready = [d for d in self.waiting.values() if self.opening(d) <= self.now]
+        ready = [d for d in self.waiting.values() if self.opening(d, self.due(d.queue.values())) <= self.now]
         slots = self.settings.calls_out
         best = {d.number: min(map(self.urgency, d.queue.values()))[0] for d in ready}
         while ready and self.calls_out < slots:
@@ -690,19 +687,22 @@
             if opens > self.now:
                 self.wake_ns = min(self.wake_ns, opens)  # a doubtful endpoint opens with its next outcome
             for message in list(destination.queue.values()):
-                if opens < NEVER and not self.may_repeat(message, opens):
+                at = opens
+                if message.due_ns < NEVER and not message.attempts:
+                    # Danger: a killed fleet holds more than its paces let out in time; most would go untried.
+                    at = min((e.line.told_ns for e in destination.endpoints.values()), default=NEVER)
+                    due_ns = max(message.due_ns, self.opening(destination, True))
+                    self.wake_ns = min(self.wake_ns, due_ns if due_ns > self.now else NEVER)
+                if at < NEVER and not self.may_repeat(message, at):
                     self.give_up(message)  # its waits are longer than its time: no use in holding it
                     continue
                 at = self.message_opens(message)
-                if at > self.now:
-                    self.wake_ns = min(self.wake_ns, at)
-                self.wake_ns = min(self.wake_ns, message.deadline_ns)
+                self.wake_ns = min(self.wake_ns, message.deadline_ns, at if at > self.now else NEVER)
         return self.wake_ns
 
     def give_up_late(self):
         """Answer the held messages whose time is over."""
-        # Nothing here or in hand_out may pass over all destinations or all that is held: hundreds of
-        # destinations, and every event of every sender pays for it.
+        # Nothing here or in hand_out may pass over all destinations: every event of every sender pays for it.
         while self.expiry and self.expiry[0][0] <= self.now:
             message = self.messages.get(heappop(self.expiry)[1])
             if message and not message.out and not self.may_repeat(message, self.now):
@@ -713,7 +713,8 @@
         places = self.settings.most_held - max(1, int(self.settings.most_held * HOLD_SPARE))
         while len(self.messages) > places:
             longest = max(self.waiting.values(), key=lambda d: len(d.queue), default=None)
-            held = [m for m in longest.queue.values() if not m.may_run_ns] if longest else []
+            queue = longest.queue.values() if longest else ()
+            held = [m for m in queue if not m.may_run_ns and (m.attempts or m.due_ns == NEVER)]
             if not held:
                 break
             self.give_up(min(held, key=lambda m: (self.worth(m, self.now), m.taken_ns)))
@@ -721,7 +722,7 @@
 
     def serve(self, destination):
         """Send the destination's most urgent message, or a bundle of them; false if nothing may go."""
-        endpoints = [e for e in destination.endpoints.values() if self.opens(e) <= self.now]
+        endpoints = [e for e in destination.endpoints.values() if self.opens(e, True) <= self.now]
         endpoints.sort(key=self.preference)
         for endpoint in endpoints:
             ready = [m for m in destination.queue.values() if self.may_send(m, endpoint)]
--- a/pinspread/interface.py
+++ b/pinspread/interface.py
@@ -201,6 +201,7 @@
     may_run_ns: int = 0  # when the first of them was sent that may have run; 0: none
     may_run_zone: int = 0  # and to which zone
     rule: TrafficClass | None = None  # what it was taken on under, where that is not `cls` of the settings
+    owed: bool = False  # it was taken on before the sender was restarted
     max_attempts: int = 0  # the same for its attempts; 0: as the settings say
 
 
--- a/pinspread/state.py
+++ b/pinspread/state.py
@@ -11,6 +11,7 @@
         "cls",
         "deadline_ns",
         "destination",
+        "due_ns",
         "failures",
         "key",
         "may_run_ns",
@@ -34,6 +35,7 @@
         self.deadline_ns = event.deadline_ns
         self.taken_ns = now
         self.ready_ns = now  # its backoff runs until then
+        self.due_ns = 1 << 62  # from then on it waits for no pace of this sender's own; owed since a restart
         self.most = 0  # attempts that it may have
         self.attempts = 0
         self.failures = 0
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -833,7 +833,7 @@
 def test_work_of_an_event_does_not_grow_with_destinations_it_does_not_concern(monkeypatch):
     looks = []
     opens = Sender.opens
-    monkeypatch.setattr(Sender, "opens", lambda self, e: looks.append(e) or opens(self, e))
+    monkeypatch.setattr(Sender, "opens", lambda self, e, *due: looks.append(e) or opens(self, e, *due))
     counts = []
     for others in (1, 400):
         desk = Desk(endpoints=[(f"e{n}", n) for n in range(1, others + 2)])
@@ -979,3 +979,19 @@
     endpoint.mean_ns, endpoint.dev_ns, endpoint.stretch = mean_s * SECOND, 5.0 * SECOND, 2.0
     (send,) = desk.take(cls=UNSAFE)
     assert send.timeout_ns == most_s * SECOND
+
+
+def test_what_a_restart_finds_untried_waits_for_no_pace_of_its_own_but_for_told_waits():
+    desk = Desk(senders=200)
+    line = next(iter(desk.sender.endpoints.values())).line
+    line.wait_ns = line.next_ns = desk.now + 60 * SECOND  # untold, and longer than its time
+    assert not desk.take(life=8 * SECOND, owed=True)  # neither sent nor given up
+    assert not desk.turn(after=3900 * MS)
+    assert desk.sent(desk.turn(after=101 * MS)) == [1]
+    line.told_ns = desk.now + 2 * SECOND
+    assert not desk.take(life=3 * SECOND, owed=True)
+    assert not desk.turn(after=1999 * MS)
+    assert desk.sent(desk.turn(after=2 * MS)) == [2]
+    desk.end(1), desk.end(2)
+    (given_up,) = desk.take(life=8 * SECOND)  # one that came since goes by the paces, as ever
+    assert type(given_up) is api.Refuse
