Take nothing on behind our own end of a leg, and let what was never written cost no attempt

Told wait, or a key's notice, between choice and write. `_clear` keeps the call unsent, but the module counted an attempt and, as MOOT sets no backoff, chose it again at once (decide.py `on_outcome`). Log without the mend, two attempts, a 429 whose body never ends: "second n=0 MOOT told to wait took_us 1085", "n=1 MOOT told to wait took_us 345", and given up with no call. Behind a notice `_run_branch` waited the branch's time out and then asked the transport, which said "CONNECT_FAILED not written in time": a failure of the partner, twice in 51 ms steps, and given up. Mend: AttemptEnded.unsent; such a call uses up no attempt and waits as after a probe that could not be sent; behind a notice it is MOOT. `RespFront._enqueue` asks `ended()`, which says so only if nothing lies unread: with a second request behind it the first was taken on behind our own end ("taken m1" in the log), could not be answered, and its client hands it in again. Mend: `Connection.over`. Ruled out: AMQP, where a publish that is not confirmed comes again under its id; the end of the process, where `stopping` answers busy. Ruled out as a fault so far: "did not wait for anything in 20 s", which has not come again.

--- a/pinspread/core/courier.py
+++ b/pinspread/core/courier.py
@@ -373,7 +373,10 @@
                 while transaction.key in self.notified and not self.heir:
                     await anyio.sleep(0.005)
         try:
-            if not await self._recorded([branch]):
+            if transaction.key in self.notified and transaction.key and not self.heir:
+                # Danger: its time is over; a transport would find none to dial in, and blame the partner.
+                outcome = Outcome(api.Verdict.MOOT, note="its key waits for a notice")
+            elif not await self._recorded([branch]):
                 outcome = Outcome(api.Verdict.MOOT, note="not copied")
             else:
                 outcome = await self.transports[branch.next_hop.scheme].send(branch)
@@ -475,6 +478,7 @@
             return
         self._heed(branch.next_hop, outcome.wait_us, now_us)
         was_open = transaction.number in self.open
+        unsent = outcome.verdict is api.Verdict.MOOT and not transaction.live_us
         log(
             "branch",
             id=transaction.id,
@@ -507,6 +511,7 @@
                 allowance_left=outcome.left,
                 limit_per_s=outcome.limit,
                 opened=outcome.opened,
+                unsent=unsent,
             )
         )
 
--- a/pinspread/decide.py
+++ b/pinspread/decide.py
@@ -73,7 +73,7 @@
 ROUTE_SPREAD = 0.3  # what fees and handshakes must outweigh: a limit's room, spread over senders by chance
 DRAINED = 0.6  # share of a kind's refusals with little left of the limit, from which they count against it
 GONE_KEPT_NS = 10 * SECOND  # what an endpoint taught stays for so long after it is gone, for its successor
-MOOT_STEP = 2  # the step of the backoff after a probe that could not be sent: 160 ms in the middle
+MOOT_STEP = 2  # the step of the backoff after a probe or call that could not be sent: 160 ms in the middle
 OWED_WAIT = 0.5  # share of its time left after which what a restart found untried waits for told waits only
 CREEP = 1.0  # calls a second, over all senders, to a cold destination that nothing is known of
 
@@ -84,8 +84,7 @@
     def __init__(self, settings, seed):
         self.use(settings)
         self.random = random.Random(seed)
-        self.destinations = {}
-        self.endpoints = {}
+        self.destinations, self.endpoints = {}, {}
         self.messages = {}  # not yet ended
         self.attempts = {}  # (request, attempt) -> (message, call, was a retry)
         self.waiting = {}  # destinations with a queue, by their number
@@ -286,17 +285,19 @@
                 self.rests = {key: at for key, at in self.rests.items() if at > self.now}
             self.rests[message.key] = self.now + self.settings.order_pause_ns
         if unknown and not message.may_run_ns:
-            message.may_run_ns = call.sent_ns
-            message.may_run_zone = call.endpoint.zone
+            message.may_run_ns, message.may_run_zone = call.sent_ns, call.endpoint.zone
             if message.rule.effect is api.Effect.BY_KEY:
                 heappush(self.expiry, (call.sent_ns + message.rule.window_ns, message.request))
         if event.done or message.request not in self.messages:
             self.end(message)
             return
         self.enqueue(message)
-        if verdict is not api.Verdict.MOOT:
-            message.ready_ns = self.now + self.backoff(message.failures)
-            message.failures += 1
+        # Danger: a told wait or a key's notice that bars a call between choice and write would use up all
+        # attempts within milliseconds, and the message would be given up with no call.
+        message.most += event.unsent
+        if event.unsent or verdict is not api.Verdict.MOOT:
+            message.ready_ns = self.now + self.backoff(MOOT_STEP if event.unsent else message.failures)
+        message.failures += verdict is not api.Verdict.MOOT
         at = max(self.now, message.ready_ns, line.told_ns, line.wait_ns, line.next_ns)
         # Danger: messages that are worth little any more crowd fresh ones out at a limit that is passed.
         stale = verdict is api.Verdict.FULL and self.worth(message, at) < LEAST_WORTH * message.rule.worth
@@ -444,8 +445,7 @@
                         next_ns = self.ramp_next(sibling, self.random.uniform(*JITTER))
                         sibling.trial_ns = max(sibling.trial_ns, next_ns)
             else:
-                endpoint.down = False
-                endpoint.trials = 0
+                endpoint.down, endpoint.trials = False, 0
         else:
             endpoint.trials = 0
         if endpoint.cold_ns and self.now - endpoint.cold_ns > self.settings.cold_ns:
--- a/pinspread/interface.py
+++ b/pinspread/interface.py
@@ -219,6 +219,7 @@
     allowance_left: float = 0.0  # share of the limit that is left just now
     limit_per_s: float = 0.0  # the limit in calls a second; 0: none is known
     opened: bool = False  # its connection was opened for it, as far as the caller knows
+    unsent: bool = False  # with MOOT: no byte of it was written, as what barred it came behind the choice
 
 
 @dataclass(slots=True)
--- a/pinspread/net/sockets.py
+++ b/pinspread/net/sockets.py
@@ -219,12 +219,13 @@
 class Connection:
     """One TCP connection, used by one task at a time."""
 
-    __slots__ = ("idle_us", "left", "sock")
+    __slots__ = ("idle_us", "left", "over", "sock")
 
     def __init__(self, sock):
         self.sock = sock
         self.left = 0  # bytes of the current write that the kernel has not taken yet
         self.idle_us = 0  # since when a pool keeps it
+        self.over = False  # this side has said its end: nothing that is read from now on can be answered
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -278,7 +279,11 @@
         return False
 
     def ended(self) -> bool:
-        """Whether the other side has closed, and nothing of it is left to read."""
+        """Whether the other side has closed, and nothing of it is left to read; or this side has."""
+        # Danger: bytes that came in the moment of our own end are read behind it. What they ask for could be
+        # taken on and never answered, and its client hands it in a second time.
+        if self.over:
+            return True
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
@@ -288,6 +293,7 @@
 
     def finish(self):
         """Say that nothing more will come; what the other side still sends is read as before."""
+        self.over = True
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
@@ -315,6 +321,7 @@
         """End it under a task that may be waiting for it: that one sees the other side's end, and closes."""
         # Danger: closed here, its number goes to another socket before that task has left its wait, and the
         # task takes the other one's wait away with its own: a call there would never see its answer.
+        self.over = True
         try:
             self.sock.shutdown(socket.SHUT_RDWR)
         except OSError:
--- a/pinspread/net/succession.py
+++ b/pinspread/net/succession.py
@@ -307,7 +307,7 @@
         return Connection(sock)
     except OSError:  # its other side has reset it: that shows at the first use
         connection = Connection.__new__(Connection)
-        connection.sock, connection.left, connection.idle_us = sock, 0, 0
+        connection.sock, connection.left, connection.idle_us, connection.over = sock, 0, 0, False
         return connection
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -9,6 +9,7 @@
 import pytest
 from standins import Client, HttpStandIn, courier, host, listener, standing, until
 
+from pinspread import decide
 from pinspread.core.transactions import NextHop, Rules
 from pinspread.interface import Group, ListScope, ListState
 from pinspread.net import discovery, http, sockets
@@ -142,8 +143,8 @@
 
 
 @asynccontextmanager
-async def watched(tmp_path, monkeypatch, faster=10):
-    """A courier and its agent, with the watch's times cut to a tenth."""
+async def watched(tmp_path, monkeypatch, faster=4):
+    """A courier and its agent, with the watch's times cut to a quarter."""
     for name in ("LINE_S", "FIRST_S", "HEAD_S", "TRY_S", "AGAIN_S"):
         monkeypatch.setattr(discovery, name, getattr(discovery, name) / faster)
     agent = Agent()
@@ -187,7 +188,7 @@
         last = len(agent.watches) - 1
         agent.say(last, told(2, S1 | {"health": "draining"}) + b"\n", head=True)
         await until(lambda: "s-1" in rig.courier.next_hops and not rig.courier.next_hops["s-1"].usable)
-        assert 10 * (time.monotonic() - start) < 6.0  # the first was silent from its first moment on
+        assert 4 * (time.monotonic() - start) < 6.0  # the first was silent from its first moment on
 
 
 async def test_an_agent_that_was_away_is_heard_whether_it_answers_who_waits_or_who_asks_then(
@@ -264,3 +265,43 @@
         agent.say(0, told(seq, S1) + b"\n", head=True)
         await until(lambda: len(agent.watches) == 2)
         assert await Client(rig.address).say("PING") == "+PONG\r\n"
+
+
+@pytest.mark.parametrize("bar", ["told wait", "notice"])
+async def test_what_bars_a_call_behind_its_choice_uses_up_no_attempt(tmp_path, monkeypatch, bar):
+    monkeypatch.setattr(decide, "MOST_TIMEOUT_NS", 2000 * decide.MS if bar == "told wait" else 50 * decide.MS)
+    untold = b"HTTP/1.1 429 x\r\nRetry-After: 1\r\nContent-Length: 9\r\n\r\n"  # its body never comes
+    hop = HttpStandIn(lambda request: (200, [], b"") if request[3]["request-id"] == "second" else untold)
+    async with standing(hop) as address, courier(tmp_path, hops=[(address,)]) as rig:
+        core = rig.courier
+        core.settings.rules["booking-change"] = Rules(core.settings.rules["booking-change"].cls, 2)
+        if bar == "notice":
+            core.notified[0x77] = 1  # an earlier message of the key, whose notice is not answered
+        else:
+            await Client(rig.address).enqueue("status-update", "first", for_ms=1500)
+            await until(lambda: core.told_us)  # heard by the transport; the module hears of it at its end
+        ended = []
+        branch_ended = core._branch_ended
+        core._branch_ended = lambda branch, outcome: (ended.append(outcome), branch_ended(branch, outcome))
+        assert await Client(rig.address).enqueue("booking-change", "second", key="77") == "+OK\r\n"
+        await until(lambda: len([o for o in ended if o.note]) >= 3 or "second" not in core.ids, 20)
+        core.notified.pop(0x77, None)
+        core.told_us.clear()
+        await until(lambda: any(r[3]["request-id"] == "second" for r in hop.requests), 20)
+
+
+async def test_what_is_read_behind_our_own_end_of_a_leg_is_not_taken_on(tmp_path):
+    async with courier(tmp_path, hops=[("127.0.0.1:1",)]) as rig:
+        leg = await sockets.dial(rig.address)
+        await leg.write(b"*1\r\n$4\r\nPING\r\n")
+        assert await leg.read() == b"+PONG\r\n"
+        room = rig.courier.fronts["resp"].room
+        (ours,) = room.legs.values()
+        body = b"x" * 6000  # two of them: the second is still unread when the first is parsed
+        command = b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$2\r\nm%d\r\n$31\r\nc=payment,t=north,d=5000,dest=1\r\n"
+        leg.sock.send(b"".join(command % n + b"$6000\r\n" + body + b"\r\n" for n in (1, 2)))
+        room._end(ours, "idle")  # they came in this moment, and are read behind it
+        with suppress(ConnectionResetError):
+            assert await leg.read() == b""
+        await until(lambda: ours.connection.sock.fileno() < 0)  # all of it has been read
+        assert not rig.courier.ids
