--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -39,6 +39,18 @@
             assert (t.may_run_us, t.branches) == (written_us, 2)
 
 
+async def test_a_notice_that_nobody_answered_is_told_again_after_a_restart(tmp_path):
+    hop = HttpStandIn(lambda request: (500, [], b""))  # it may have run: the payment fails
+    unheard, heard = HttpStandIn(lambda request: None), HttpStandIn(lambda request: (204, [], b""))
+    async with standing(hop) as address, standing(unheard) as first, standing(heard) as second:
+        async with courier(tmp_path, first, hops=[(address,)]) as rig:
+            await Client(rig.address).enqueue("payment")
+            await until(lambda: unheard.requests)  # and killed, with the notice out
+        async with courier(tmp_path, second, hops=[(address,)]) as rig:
+            await until(lambda: not rig.courier.ids)
+        assert [r[4] for r in heard.requests] == [unheard.requests[0][4]] and len(hop.requests) == 1
+
+
 def service(folder, platform, **more):
     """The parts of a process, in this one; `leaving` stands for SIGTERM."""
     told = settings.read(configuration(folder) | {"listen": own_address(), "discovery": platform}, {})
