Read the endpoints told to leave anew where a process takes over, and end what a failed kill test left

Seen by rereading: a process that is started beside another reads list.left at once; what the older one writes until the hand-over was lost with the newcomer's next write (net/discovery.py _Left). Now it is read where the newcomer takes over or starts.

--- a/pinspread/net/discovery.py
+++ b/pinspread/net/discovery.py
@@ -78,6 +78,10 @@
     def __init__(self, told):
         self.path = Path(told.state) / LEFT
         self.most = int(told.disk_bytes * LEFT_SHARE)
+        self.read()
+
+    def read(self):
+        """As the file has it; another process may have written it since."""
         try:
             kept = orjson.loads(self.path.read_bytes())
             self.health = {id_: health for id_, health in kept.items() if health in STATES}
@@ -150,6 +154,7 @@
         """The list as the configuration has it, which may be old, and what was told to leave since."""
         # Danger: the configuration's list may be old, and an agent that is away tells no newer one: what the
         # process before was told of drains would be forgotten, and what is owed would go there.
+        self.left.read()
         known = self.told.known
         well = isinstance(known, dict) and isinstance(known.get("hosts"), list)
         self._learn(self.left.over(known) if well else known, ListScope.CACHED)
@@ -160,6 +165,7 @@
 
     def resume(self, found: dict):
         """Follow on from where another process was; its core has handed over the list itself."""
+        self.left.read()
         if found.get("address") == self.address:
             self.seq = found["seq"]
 
--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -133,27 +133,31 @@
 async def test_what_a_restart_finds_taken_on_and_untried_is_tried(tmp_path, front, ends):
     partner, silent = Partner(), HttpStandIn(silent_discovery)
     async with standing(partner) as hop, standing(silent) as platform:
-        process = await front(tmp_path, hop, platform).ready()
-        for n in range(HELD):
-            await process.hand_in(n)
-        await until(lambda: len(partner.calls) >= AT_ONCE)
-        for how in ends:
-            await process.end(how)
-            partner.life += 1
-            process.start()
+        process = front(tmp_path, hop, platform)
+        try:
             await process.ready()
-        partner.held = False
-        for connection in list(partner.open):  # what hung from this life on ends as a reset
-            connection.end()
-        tried_before = {id_ for id_, lives in partner.calls.items() if lives[0] < partner.life}
-        untried = {f"m{n}" for n in range(HELD)} - tried_before
-        assert len(untried) >= HELD - SLOTS * len(ends) - SLOTS
-        await until(lambda: untried <= partner.calls.keys(), 20)
-        payments = Counter(
-            i for i, lives in partner.calls.items() if int(i[1:]) % PAYS[front] == 0 for _ in lives
-        )
-        assert not [i for i, calls in payments.items() if calls > 1]  # none that may have run went again
-        await process.end(signal.SIGKILL)
+            for n in range(HELD):
+                await process.hand_in(n)
+            await until(lambda: len(partner.calls) >= AT_ONCE)
+            for how in ends:
+                await process.end(how)
+                partner.life += 1
+                process.start()
+                await process.ready()
+            partner.held = False
+            for connection in list(partner.open):  # what hung from this life on ends as a reset
+                connection.end()
+            tried_before = {id_ for id_, lives in partner.calls.items() if lives[0] < partner.life}
+            untried = {f"m{n}" for n in range(HELD)} - tried_before
+            assert len(untried) >= HELD - SLOTS * len(ends) - SLOTS
+            await until(lambda: untried <= partner.calls.keys(), 20)
+            payments = Counter(
+                i for i, lives in partner.calls.items() if int(i[1:]) % PAYS[front] == 0 for _ in lives
+            )
+            assert not [i for i, calls in payments.items() if calls > 1]  # none that may have run went again
+        finally:
+            process.process.kill()  # a test that fails leaves nothing running
+            process.process.wait()
 
 
 PAYS = {Resp: 3, Amqp: 2}  # every so many messages is a payment
