Review, case 3: a file short of known.hosts ends the courier at its next start

Need: an independent review asks for tests that show faults; nothing is fixed. Change: a script that gives the file by SIGHUP, hands payments in and restarts the courier as planned.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exit code: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." && exec .venv/bin/python review/3/case.py
