--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,6 +22,7 @@
 COURIERS = 6  # one after another
 CLIENTS = 8  # of each courier
 AT_ONCE = 80  # commands that a client sends in one write, in one segment of under 8 KiB
+ENDED = "end of the stream"
 PAUSE_S = 0.005  # of a client between its last answer and the next write
 QUIET_S = 1.0  # of normal work before SIGTERM
 RUN_S = QUIET_S + KILL_AFTER_S  # clients send until SIGKILL could come
@@ -67,7 +68,7 @@
             while len(self.answers) < len(ids):
                 line = await reader.readline()
                 if not line:
-                    self.end = "end of the stream"
+                    self.end = ENDED
                     break
                 self.answers.append(line.decode("latin-1").strip())
         except OSError as error:
@@ -79,9 +80,9 @@
         """Return the commands that were written and got no answer before the connection ended.
 
         A write that got no answer at all may have crossed the end of the connection, unread. One that got
-        some answers went out in one segment, and the courier has read it.
+        some answers went out in one segment, and the courier has read it, unless it resets the connection.
         """
-        return list(self.written)[len(self.answers) :] if self.end and self.answers else []
+        return list(self.written)[len(self.answers) :] if self.end == ENDED and self.answers else []
 
 
 async def case(folder: Path, record: Record, trouble: bool) -> int:
--- a/review/common/parties.py
+++ b/review/common/parties.py
@@ -413,6 +413,7 @@
     """Run a case in a temporary folder; return the exit code: 0 held, 1 broken, 2 could not run."""
     import tempfile
 
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # a script that is told to end ends its courier
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("trouble", trouble)
