Refuse addresses with a port above 65535 where they are read

Cause: split_address checked that the port is a number, not its range, so an entry of the endpoint list or a discovery address with such a port passed, and the dial raises an OverflowError, which of the callers only attempts catch (by reading). Change: the range is checked, ASCII digits only; the module moves to the core, so that the configuration can use it without loading the event loop.

--- a/pinspread/sockets/__init__.py
+++ b/pinspread/sockets/__init__.py
@@ -1,6 +1,6 @@
 """Non-blocking TCP: listeners, connections, read buffers and the limit on client connections."""
 
-from pinspread.sockets.address import split_address
+from pinspread.core.address import split_address
 from pinspread.sockets.connection import SHOWN_BYTES, Connection, UnexpectedBytesError, dial
 from pinspread.sockets.idle import IdleConnection
 from pinspread.sockets.limiter import ClientConnection, ConnectionLimiter
--- a/pinspread/sockets/connection.py
+++ b/pinspread/sockets/connection.py
@@ -13,7 +13,7 @@
 import anyio
 import anyio.lowlevel
 
-from pinspread.sockets.address import split_address
+from pinspread.core.address import split_address
 
 READ_SIZE = 1 << 16  # maximum bytes of one read
 SHOWN_BYTES = 64  # unread bytes that the log shows
--- a/pinspread/sockets/listener.py
+++ b/pinspread/sockets/listener.py
@@ -9,7 +9,7 @@
 import anyio.lowlevel
 from anyio.abc import TaskGroup
 
-from pinspread.sockets.address import split_address
+from pinspread.core.address import split_address
 from pinspread.sockets.connection import Connection
 
 BACKLOG = 512
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -118,7 +118,7 @@
         exchange.parse_status(received)
 
 
-@pytest.mark.parametrize("text", ["", "host", ":1", "host:", "host:x"])
+@pytest.mark.parametrize("text", ["", "host", ":1", "host:", "host:x", "host:65536", "host:٣"])
 def test_an_address_is_host_and_port(text):
     with pytest.raises(ValueError):
         split_address(text)
