Refuse a configuration file short of any key that the settings in effect have

Short of `known.hosts`, the next start ended.

Cause: only the paths below `settings` were compared with those in force; the other keys fell back to the environment or to defaults, and null passed wherever a value was turned into text.

Change: config/document.py has the file's types, checked by msgspec, and what a file must keep of the one that it replaces: every key outside lists, with the same kind of value. Null counts as missing. Application files are held to the same at SIGHUP.

--- a/pinspread/__main__.py
+++ b/pinspread/__main__.py
@@ -159,7 +159,7 @@
     """Read the platform's file again."""
     from pinspread.service import ReloadedSettings
 
-    effective = settings.from_environment(os.environ, last)
+    effective = settings.from_environment(os.environ, last.key_kinds)
     return ReloadedSettings(effective, effective.discovery, effective.discovery)
 
 
--- a/pinspread/config/application.py
+++ b/pinspread/config/application.py
@@ -10,6 +10,7 @@
 
 from pinspread.config import settings
 from pinspread.config.checks import problems
+from pinspread.config.document import key_kinds
 from pinspread.config.models import Class, File
 from pinspread.config.settings import EffectiveSettings, SettingsError
 from pinspread.core.time_units import NS_PER_S
@@ -60,7 +61,9 @@
         "known": {"seq": 0, "whole": True, "hosts": []},
         "settings": _platform_settings(file),
     }
-    return settings.read(document, {})
+    effective = settings.read(document, {})
+    effective.key_kinds = dict(key_kinds(file.model_dump(exclude_unset=True, exclude_none=True)))
+    return effective
 
 
 def random_seed() -> int:
--- a/pinspread/config/settings.py
+++ b/pinspread/config/settings.py
@@ -5,13 +5,23 @@
 """
 
 import re
-from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
-from typing import Any
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 
 import orjson
 
+from pinspread.config.document import (
+    CachedList,
+    Document,
+    KeyKinds,
+    MessageClass,
+    convert,
+    find_gaps,
+    key_kinds,
+    without_nulls,
+)
 from pinspread.config.policy_settings import flatten, read_settings
+from pinspread.core.address import split_address
 from pinspread.core.messages import DeliveryRules
 from pinspread.core.time_units import NS_PER_MS, NS_PER_US
 from pinspread.errors import PinspreadError
@@ -20,6 +30,7 @@
 BYTES_PER_MB = 1_000_000
 DEFAULT_SOCKETS = 1024
 DEFAULT_MEMORY_MB = 192
+NO_TENANT = ""  # the only name where a deployment has no tenants
 LIMIT_REPORT_FIELDS = {"x0", "x1"}  # the unused part of a limit, and the limit
 
 
@@ -52,7 +63,7 @@
         load_reports_enabled: Whether answers report a limit and its unused part.
         inherited_listener_descriptor: The descriptor of a listening socket that the platform holds; None
             without one.
-        setting_paths: The paths of the settings in the file, without those inside lists.
+        key_kinds: The keys of the file and the kinds of their values, without those inside lists.
         raw: The contents of the file; empty if the settings come from elsewhere.
     """
 
@@ -64,7 +75,7 @@
     disk_bytes: int
     sockets: int
     memory_bytes: int
-    cached_endpoints: dict[str, Any]
+    cached_endpoints: CachedList
     policy_settings: Settings
     delivery_rules: dict[str, DeliveryRules]
     tenants: dict[str, int]
@@ -75,7 +86,7 @@
     admin: str = ""
     load_reports_enabled: bool = False
     inherited_listener_descriptor: int | None = None
-    setting_paths: frozenset[str] = frozenset()
+    key_kinds: KeyKinds = field(default_factory=dict)
     raw: bytes = b""
 
     @property
@@ -84,14 +95,12 @@
         return self.policy_settings.max_retry_after_ns // NS_PER_MS
 
 
-def from_environment(
-    environment: Mapping[str, str], last: EffectiveSettings | None = None
-) -> EffectiveSettings:
+def from_environment(environment: Mapping[str, str], last: KeyKinds | None = None) -> EffectiveSettings:
     """Read the configuration file; except for discovery, environment variables override its values.
 
     Args:
         environment: The environment variables; `RELAY_CONFIG` names the file.
-        last: The settings in effect; a file that lacks one of their paths is refused.
+        last: The keys of the settings in effect, if any; a file that lacks one of them is refused.
 
     Raises:
         SettingsError: The file cannot be read, or is unusable.
@@ -102,63 +111,93 @@
     try:
         with open(path, "rb") as file:
             raw = file.read()
-        effective = read(orjson.loads(raw), environment)
-    except (OSError, orjson.JSONDecodeError) as error:
+        effective = parse(raw, environment)
+        check_complete(effective, last or {})
+    except (OSError, SettingsError) as error:
         raise SettingsError(f"{path}: {error}") from None
-    if last:
-        _check_complete(effective, last, path)
+    return effective
+
+
+def parse(raw: bytes, environment: Mapping[str, str]) -> EffectiveSettings:
+    """Read the configuration from the contents of the platform's file; SettingsError if it is unusable."""
+    try:
+        document = orjson.loads(raw)
+    except orjson.JSONDecodeError as error:
+        raise SettingsError(f"configuration: {error}") from None
+    effective = read(document, environment)
+    if not effective.discovery:
+        raise SettingsError("configuration: discovery is empty, expected host:port")
     effective.raw = raw
     return effective
 
 
-def _check_complete(effective: EffectiveSettings, last: EffectiveSettings, path: str) -> None:
-    """Refuse a file that lacks settings which the last one had: defaults would replace them unnoticed."""
-    missing = sorted(last.setting_paths - effective.setting_paths)
-    if missing:
-        raise SettingsError(f"{path}: {', '.join(missing)} is missing, but is set in the settings in effect")
+def check_complete(effective: EffectiveSettings, last: KeyKinds) -> None:
+    """Refuse a file that lacks keys of the last one, since defaults would replace them unnoticed.
+
+    Raises:
+        SettingsError: Keys are missing, or have values of another kind.
+    """
+    gaps = find_gaps(effective.key_kinds, last)
+    if gaps:
+        raise SettingsError(f"{', '.join(gaps)} as in the settings in effect")
 
 
-def read(document: dict[str, Any], environment: Mapping[str, str]) -> EffectiveSettings:
-    """Read the configuration from its JSON object; SettingsError if it is unusable."""
+def read(document: object, environment: Mapping[str, str]) -> EffectiveSettings:
+    """Read the configuration from its JSON value; SettingsError if it is unusable."""
     try:
-        return _read(document, environment)
-    except KeyError as error:
-        raise SettingsError(f"configuration: {error.args[0]} is missing") from None
-    except (TypeError, ValueError, AttributeError, OverflowError) as error:
+        complete = without_nulls(document)
+        effective = _read(convert(complete), environment)
+        effective.key_kinds = dict(key_kinds(complete))
+    except (TypeError, ValueError, OverflowError, RecursionError) as error:
         raise SettingsError(f"configuration: {error}") from None
+    return effective
 
 
-def _read(document: dict[str, Any], environment: Mapping[str, str]) -> EffectiveSettings:
-    settings = document["settings"]
+def _read(document: Document, environment: Mapping[str, str]) -> EffectiveSettings:
+    settings, limits = document["settings"], document["limits"]
     text = "\n".join(flatten(settings)).encode()
     policy_settings, report_fields = read_settings(text)
     policy_limits = settings["policyLimits"]
+    admin = environment.get("RELAY_ADMIN_ADDR") or document.get("admin_addr", "")
     return EffectiveSettings(
-        name=environment.get("RELAY_NAME") or document["name"],
-        listen=environment.get("RELAY_LISTEN") or document["listen"],
+        name=_required("name", environment.get("RELAY_NAME") or document.get("name")),
+        listen=_address("listen", environment.get("RELAY_LISTEN") or document.get("listen")),
         # The file may be replaced while the process runs, when its environment still has the old address.
-        discovery=document["discovery"] if "discovery" in document else environment["RELAY_DISCOVERY"],
-        state=environment.get("RELAY_STATE") or document["state"],
-        seed=int(str(document["seed"]), 16),
-        disk_bytes=int(document["limits"]["disk_mb"] * BYTES_PER_MB),
-        sockets=document["limits"].get("sockets", DEFAULT_SOCKETS),
-        memory_bytes=int(document["limits"].get("memory_mb", DEFAULT_MEMORY_MB) * BYTES_PER_MB),
+        discovery=_address("discovery", document.get("discovery", environment.get("RELAY_DISCOVERY"))),
+        state=_required("state", environment.get("RELAY_STATE") or document.get("state")),
+        seed=int(document["seed"], 16),
+        disk_bytes=int(limits["disk_mb"] * BYTES_PER_MB),
+        sockets=limits.get("sockets", DEFAULT_SOCKETS),
+        memory_bytes=int(limits.get("memory_mb", DEFAULT_MEMORY_MB) * BYTES_PER_MB),
         cached_endpoints=document["known"],
         policy_settings=policy_settings,
         delivery_rules=_delivery_rules(settings["lanes"], policy_settings),
-        tenants=_indices(settings.get("projects") or [{"name": ""}]),
-        kinds={name: index for index, name in enumerate(settings["shapes"])},
-        zones={name: index for index, name in enumerate(settings["zones"])},
+        tenants=_indices([project["name"] for project in settings.get("projects", [])] or [NO_TENANT]),
+        kinds=_indices(settings["shapes"]),
+        zones=_indices(settings["zones"]),
         connect_timeout_us=policy_limits["dialTimeoutNs"] // NS_PER_US,
         keepalive_us=policy_limits["keepaliveNs"] // NS_PER_US,
-        admin=environment.get("RELAY_ADMIN_ADDR") or document.get("admin_addr") or "",
+        admin=_address("admin_addr", admin),
         load_reports_enabled=set(report_fields) >= LIMIT_REPORT_FIELDS,
         inherited_listener_descriptor=_descriptor(environment.get("RELAY_PASSED_SOCKET")),
-        setting_paths=frozenset(_setting_paths(settings)),
     )
 
 
-def _delivery_rules(lanes: list[dict[str, Any]], policy_settings: Settings) -> dict[str, DeliveryRules]:
+def _required(key: str, value: str | None) -> str:
+    if value is None:
+        raise ValueError(f"{key} is missing")
+    return value
+
+
+def _address(key: str, value: str | None) -> str:
+    """Check an address, which may be empty."""
+    address = _required(key, value)
+    if address:
+        split_address(address)
+    return address
+
+
+def _delivery_rules(lanes: Sequence[MessageClass], policy_settings: Settings) -> dict[str, DeliveryRules]:
     rules: dict[str, DeliveryRules] = {}
     for lane, traffic_class in zip(lanes, policy_settings.classes, strict=True):
         if lane["name"] in rules:
@@ -167,19 +206,11 @@
     return rules
 
 
-def _setting_paths(settings: dict[str, Any], path: str = "") -> Iterator[str]:
-    """The paths of all settings, without the contents of lists, since lists may grow and shrink."""
-    for name, inner in settings.items():
-        yield path + name
-        if isinstance(inner, dict):
-            yield from _setting_paths(inner, f"{path}{name}.")
-
-
 def _descriptor(text: str | None) -> int | None:
     """The descriptor number in a text, which is the last number there; None if there is none."""
     numbers = re.findall(r"\d+", text or "")
     return int(numbers[-1]) if numbers else None
 
 
-def _indices(named: list[dict[str, Any]]) -> dict[str, int]:
-    return {item["name"]: index for index, item in enumerate(named)}
+def _indices(names: Sequence[str]) -> dict[str, int]:
+    return {name: index for index, name in enumerate(names)}
--- a/pinspread/standalone.py
+++ b/pinspread/standalone.py
@@ -12,7 +12,7 @@
 from pinspread.config.amqp_front import AmqpFile
 from pinspread.config.dnssd import DnsSdDiscovery, Records
 from pinspread.config.models import Brokers, Copies, File, Leases, Members
-from pinspread.config.settings import EffectiveSettings, SettingsError
+from pinspread.config.settings import EffectiveSettings, SettingsError, check_complete
 from pinspread.core.engine import DeliveryEngine
 from pinspread.core.ports import BackgroundService
 from pinspread.core.time_units import US_PER_MS, US_PER_S
@@ -37,9 +37,10 @@
     def make_discovery(engine: DeliveryEngine) -> DnsSdDiscovery:
         return DnsSdDiscovery(engine, records(file), file.discovery.services, file.discovery.refresh_s)
 
-    def reload(_: EffectiveSettings) -> ReloadedSettings:
+    def reload(last: EffectiveSettings) -> ReloadedSettings:
         new = application.load(path)
         effective = application.effective_settings(new, application.random_seed())
+        check_complete(effective, last.key_kinds)
         return ReloadedSettings(effective, records(new), application.notification_address(new))
 
     return ServiceOptions(
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -35,12 +35,13 @@
     complete_file = orjson.dumps(configuration(tmp_path))
     file.write_bytes(complete_file)
     last = settings.from_environment(env)
+    kinds = last.key_kinds
     for size in range(len(complete_file)):
         file.write_bytes(complete_file[:size])
         with pytest.raises(settings.SettingsError):
-            settings.from_environment(env, last)
+            settings.from_environment(env, kinds)
     file.write_bytes(complete_file)
-    assert settings.from_environment(env, last).delivery_rules == last.delivery_rules
+    assert settings.from_environment(env, kinds).delivery_rules == last.delivery_rules
 
 
 def without_key(path):
@@ -97,7 +98,7 @@
     broken(raw_settings)
     file.write_bytes(orjson.dumps(raw_settings))
     with pytest.raises(settings.SettingsError):
-        settings.from_environment(env, last)
+        settings.from_environment(env, last.key_kinds)
 
 
 @pytest.mark.parametrize("raw", [b"", b"\xff\xfe", b"null", b"[]", b"3", b'{"settings":NaN}', None])
