Answer all commands that were read before a client connection is ended

Cause: a connection passed for idle when the kernel held no byte of it, while whole commands lay in the session's buffer between two batches. Evidence: the courier's log has `rejected`, `the client connection has been closed` for just these commands. The same question was asked by the time-outs and where room is made for others.

Change: a connection is idle only while its session waits for input, which it does once all that was read has its replies. At SIGTERM the session ends the stream itself right behind its last reply, and after 0.15 s behind the command that is being read. Commands behind the eighth malformed one are answered up to the next malformed one. A process that is asked to leave answers before it ends; a stream that was ended is not handed over; the backlog is accepted to its end before it is closed. Both fronts close side by side, so the end takes no longer.

--- a/pinspread/hot_restart/target.py
+++ b/pinspread/hot_restart/target.py
@@ -116,7 +116,7 @@
     except OSError:  # reset by the peer; the first use of the connection will report it
         connection = Connection.__new__(Connection)
         connection.sock, connection.unsent_bytes = sock, 0
-        connection.finished = False
+        connection.finished = connection.awaiting_input = False
         return connection
 
 
--- a/pinspread/resp/commands.py
+++ b/pinspread/resp/commands.py
@@ -22,7 +22,7 @@
     """The state of a connection after a batch of commands.
 
     Attributes:
-        can_continue: Further commands can be parsed from the stream; false after a protocol error.
+        can_continue: Further commands can be executed; false after a protocol error, or the last allowed one.
         min_bytes: Minimum length of the next command in bytes: with less in the buffer it is incomplete.
         errors: Number of malformed commands in the batch.
     """
@@ -51,8 +51,17 @@
         self.engine = engine
         self.limiter = limiter
 
-    def execute_batch(self, client: ClientConnection, buffer: ReadBuffer, output: bytearray) -> BatchResult:
-        """Execute complete commands in the buffer, up to `BATCH_SIZE`, and append the replies to `output`."""
+    def execute_batch(
+        self, client: ClientConnection, buffer: ReadBuffer, output: bytearray, *, end_at_error: bool = False
+    ) -> BatchResult:
+        """Execute complete commands in the buffer, up to `BATCH_SIZE`, and append the replies to `output`.
+
+        Args:
+            client: The connection as the limiter counts it.
+            buffer: The bytes that were read.
+            output: Receives the replies.
+            end_at_error: No command behind a malformed one is executed.
+        """
         errors = 0
         for _ in range(BATCH_SIZE):
             if not buffer.end:
@@ -74,6 +83,8 @@
                 client.command_answered(self.engine.clock.now())
             else:
                 errors += 1
+                if end_at_error:
+                    return BatchResult(False, 1, errors)
         return BatchResult(True, 1, errors)
 
     def _execute(self, client: ClientConnection, arguments: list[memoryview]) -> Reply:
--- a/pinspread/resp/front.py
+++ b/pinspread/resp/front.py
@@ -4,7 +4,9 @@
 from collections.abc import Iterable
 
 import anyio
+import anyio.lowlevel
 import orjson
+from anyio.abc import TaskGroup
 
 from pinspread.core.engine import DeliveryEngine
 from pinspread.core.log import log
@@ -18,13 +20,19 @@
     Connection,
     ConnectionLimiter,
     IdleConnection,
+    StreamEnd,
     accept_forever,
+    accept_waiting,
     serve_counted,
 )
 
 __all__ = ["NAME", "RespFront"]
 
-CLOSE_TIMEOUT_S = 0.15  # at shutdown: for the last replies, and again for clients to close their connections
+# At shutdown: how long clients are answered until nothing of theirs is unanswered; then how long until each
+# has the reply to the command that was read last; and how long clients have to close their connections.
+ANSWER_TIMEOUT_S = 0.15
+LAST_REPLY_TIMEOUT_S = 0.05
+CLOSE_TIMEOUT_S = 0.15
 CLOSE_POLL_S = 0.005
 
 
@@ -39,6 +47,7 @@
 
     Attributes:
         scope: The cancel scope of all tasks that `run` has started; None before that.
+        shares_listener: Another process accepts at the same listening socket, or will.
     """
 
     reports_delivery = False  # the platform learns of deliveries without a notification
@@ -53,6 +62,8 @@
         self.limiter = limiter or ConnectionLimiter(engine.clock)
         self.notifications = notifications
         self.scope: anyio.CancelScope | None = None
+        self.shares_listener = False
+        self._tasks: TaskGroup | None = None
         self._handler = CommandHandler(engine, self.limiter)
         self._accepting = anyio.CancelScope()
         self._sock: socket.socket | None = None
@@ -70,7 +81,7 @@
         """
         self._stopped, self._sock = anyio.Event(), sock
         async with anyio.create_task_group() as tasks:
-            self.scope = tasks.cancel_scope
+            self.scope, self._tasks = tasks.cancel_scope, tasks
             for idle in connections:
                 tasks.start_soon(serve_counted, self.limiter, self.serve, idle.connection, idle)
             with anyio.CancelScope() as self._accepting:
@@ -80,36 +91,37 @@
     async def close(self) -> None:
         """Shut down: answer commands that have arrived, end each stream, and wait briefly for the clients.
 
-        If the process ended with a complete command unread, the kernel would reset the connection and the
-        client would get no reply. A command that is sent while its stream is being ended gets no reply
-        either, but its client sees the end of the stream first and submits the message again elsewhere.
+        A command that was read must be answered before its stream ends. One that is sent while its stream is
+        being ended gets no reply, but its client sees the end of the stream and submits the message again
+        elsewhere. If the process ended with bytes unread, the kernel would reset the connection, and the
+        client might lose replies.
         """
-        if self._sock is None or self.scope is None or self.scope.cancel_called:
+        if self._sock is None or self._tasks is None or self._tasks.cancel_scope.cancel_called:
             return
-        with anyio.move_on_after(CLOSE_TIMEOUT_S):
-            await anyio.sleep(0)  # lets connections in the backlog be accepted and read
-            self._accepting.cancel()
-            self._sock.close()  # later clients are refused at once instead of waiting in the backlog
-            await self._end_streams()
+        self._accepting.cancel()
+        if not self.shares_listener:
+            accept_waiting(self._sock, self._tasks, self.serve, self.limiter)
+        self._sock.close()  # later clients are refused at once instead of waiting in the backlog
+        with anyio.move_on_after(ANSWER_TIMEOUT_S):
+            await self._end_streams(StreamEnd.ONCE_IDLE)
+        with anyio.move_on_after(LAST_REPLY_TIMEOUT_S):
+            await self._end_streams(StreamEnd.AFTER_COMMAND)
         with anyio.move_on_after(CLOSE_TIMEOUT_S):
             while self._clients():
                 await anyio.sleep(CLOSE_POLL_S)
 
-    def _clients(self) -> dict[Connection, ClientConnection]:
+    def _clients(self) -> list[ClientConnection]:
         """Return this front's connections among all that the limiter counts."""
-        clients = self.limiter.clients.values()
-        return {client.connection: client for client in clients if not client.has_heartbeat}
-
-    async def _end_streams(self) -> None:
-        """End the stream to each client once it has no unanswered command, until all are ended."""
-        clients = self._clients()
-        while clients:
-            for connection, client in list(clients.items()):
-                if connection not in self.limiter.clients:
-                    del clients[connection]
-                elif not client.mid_command and connection.is_idle():
-                    connection.send_eof()
-                    del clients[connection]
+        return [client for client in self.limiter.clients.values() if not client.has_heartbeat]
+
+    async def _end_streams(self, requested_end: StreamEnd) -> None:
+        """Have each stream ended, until all are: here if its session waits for input, else by the session."""
+        await anyio.lowlevel.checkpoint()  # connections that were just accepted are counted by their tasks
+        while clients := [client for client in self._clients() if not client.connection.finished]:
+            for client in clients:
+                client.requested_end = requested_end
+                if client.is_idle() and not client.mid_command:
+                    client.connection.send_eof()
             await anyio.sleep(CLOSE_POLL_S)
 
     async def detach_connections(self) -> list[IdleConnection]:
@@ -136,7 +148,7 @@
         except OSError:
             pass  # the client has closed the connection
         except anyio.get_cancelled_exc_class():
-            if session.can_continue and self._detached is not None:
+            if session.can_continue and not connection.finished and self._detached is not None:
                 self._detached.append(session.detach())
                 collected = True
             raise
--- a/pinspread/resp/session.py
+++ b/pinspread/resp/session.py
@@ -5,9 +5,10 @@
 
 from pinspread.resp import replies
 from pinspread.resp.commands import CommandHandler
-from pinspread.sockets import ClientConnection, Connection, IdleConnection, ReadBuffer
+from pinspread.sockets import ClientConnection, Connection, IdleConnection, ReadBuffer, StreamEnd
 
-MAX_ERRORS = 8  # a connection is closed at this number of malformed commands
+# After so many malformed commands a connection ends at the next one, or once nothing is unanswered.
+MAX_ERRORS = 8
 ERROR_PAUSE_S = 0.02  # pause after malformed commands, multiplied by their number so far
 MAX_ERROR_PAUSE_S = 1.0
 
@@ -47,26 +48,49 @@
         if handed_over is not None:
             self._restore(handed_over)
             await self.connection.write(self._output)
-        unread = handed_over is not None and self._buffered() > 0
-        while unread or await self.buffer.fill(self.connection):
-            unread = False
-            # A command that arrives in small pieces is parsed again only once it may be complete. Parsing it
-            # from its first byte after each read would take a lot of CPU time.
-            while self.can_continue and self._buffered() >= self._min_bytes:
-                if not await self._answer_batch():
-                    await self.connection.linger()
-                    return
-            if not self.can_continue:
-                await self.connection.linger()
+        while await self._answer_commands():
+            if not await self.buffer.fill(self.connection, self._max_read()):
                 return
+        await self.connection.linger()
+
+    async def _answer_commands(self) -> bool:
+        """Answer all complete commands in the buffer; return whether to read more."""
+        # A command that arrives in small pieces is parsed again only once it may be complete. Parsing it
+        # from its first byte after each read would take a lot of CPU time.
+        while self.can_continue and self._buffered() >= self._min_bytes:
+            if not await self._answer_batch():
+                return False
+        return self.can_continue and not self.connection.finished and not self._may_end()
+
+    def _may_end(self) -> bool:
+        """Return whether the stream is to be ended, and nothing that the client sent is unanswered.
+
+        Between the write of the last reply and the end of the stream nothing is awaited. A client that sends
+        more only once it has all replies would otherwise always have sent more.
+        """
+        requested_end = StreamEnd.ONCE_IDLE if self._too_many_errors() else self.client.requested_end
+        if requested_end is StreamEnd.NOT_REQUESTED or self._buffered():
+            return False
+        return requested_end is StreamEnd.AFTER_COMMAND or self.connection.is_idle()
+
+    def _max_read(self) -> int | None:
+        """Return how many bytes to read next: no more than the current command's if it is to be the last."""
+        if self.client.requested_end is StreamEnd.AFTER_COMMAND:
+            return max(1, self._min_bytes - self._buffered())
+        return None
+
+    def _too_many_errors(self) -> bool:
+        return self._errors >= MAX_ERRORS
 
     def _buffered(self) -> int:
         return self.buffer.end - self.buffer.start
 
     async def _answer_batch(self) -> bool:
-        """Execute a batch of commands and write the replies; false if nothing more may be written."""
+        """Execute a batch of commands and write the replies; false if the stream is to be ended."""
         output = self._output = bytearray()
-        batch = self.handler.execute_batch(self.client, self.buffer, output)
+        batch = self.handler.execute_batch(
+            self.client, self.buffer, output, end_at_error=self._too_many_errors()
+        )
         self.can_continue, self._min_bytes = batch.can_continue, batch.min_bytes
         if output:
             if replies.OK in output and not await self._wait_committed():
@@ -75,11 +99,11 @@
                 return False
             await self.connection.write(output)
         self._errors += batch.errors
-        if batch.errors:
+        if self._may_end():
+            return False
+        if batch.errors and self.can_continue and not self._too_many_errors():
             # A client that repeats a malformed command as soon as it is rejected would use up the CPU.
-            self.can_continue = self.can_continue and self._errors < MAX_ERRORS
-            pause_s = min(ERROR_PAUSE_S * self._errors, MAX_ERROR_PAUSE_S)
-            await anyio.sleep(pause_s if self.can_continue else 0)
+            await anyio.sleep(min(ERROR_PAUSE_S * self._errors, MAX_ERROR_PAUSE_S))
         else:
             # Hundreds of commands may be in the buffer: other connections get a turn between batches.
             await anyio.lowlevel.checkpoint()
--- a/pinspread/service/handover.py
+++ b/pinspread/service/handover.py
@@ -80,8 +80,10 @@
 
     def shut_down_for_successor(self) -> None:
         """Finish and end, since another process is waiting for the folder."""
-        if self._components.resp_front.scope:
-            self._components.resp_front.scope.cancel()  # leave new clients to the other process
+        self._tasks.start_soon(self._leave)
+
+    async def _leave(self) -> None:
+        await self._components.resp_front.close()  # new clients are left to the other process
         self._leaving.set()
 
     async def pause_for_handover(self, successor: source.Successor) -> source.HandoverPayload:
@@ -127,12 +129,10 @@
 def _limit_connections(connections: list[IdleConnection], limit: int) -> list[IdleConnection]:
     """Keep at most `limit` connections, since they are briefly open in both processes; close the others.
 
-    Connections with unprocessed input or unsent output are kept first, then those whose clients have
+    Connections with unanswered input or unsent output are kept first, then those whose clients have
     submitted messages, then those that were answered before.
     """
-    connections.sort(
-        key=lambda idle: (not (idle.unread or idle.unsent), not idle.submitted, not idle.answered)
-    )
+    connections.sort(key=lambda idle: (idle.is_answered(), not idle.submitted, not idle.answered))
     for idle in connections[limit:]:
         idle.connection.close()
     return connections[:limit]
--- a/pinspread/service/process.py
+++ b/pinspread/service/process.py
@@ -174,8 +174,9 @@
             await self._handover.report_remaining()
             return
         await self.engine.stop()
-        await self.components.amqp_front.close()
-        await self.components.resp_front.close()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.components.amqp_front.close)
+            tasks.start_soon(self.components.resp_front.close)
 
 
 def admin_server(
--- a/pinspread/service/serving.py
+++ b/pinspread/service/serving.py
@@ -37,6 +37,7 @@
         settings, amqp = options.settings, options.amqp.listen
         if settings.listen:
             inherited = inherited_listener(settings.inherited_listener_descriptor)
+            self._components.resp_front.shares_listener = inherited is not None
             self.listeners[RESP] = inherited or await listen(settings.listen, leaving)
         if amqp:
             self.listeners[AMQP] = transferred.get(AMQP) or await listen(amqp, leaving)
--- a/pinspread/sockets/connection.py
+++ b/pinspread/sockets/connection.py
@@ -42,9 +42,10 @@
         sock: The socket.
         unsent_bytes: How many bytes of the current write the kernel has not taken yet.
         finished: This side has ended the stream: what is read from now on cannot be answered.
+        awaiting_input: A task waits for the peer to send something, and holds nothing that was read before.
     """
 
-    __slots__ = ("finished", "sock", "unsent_bytes")
+    __slots__ = ("awaiting_input", "finished", "sock", "unsent_bytes")
 
     def __init__(self, sock: socket.socket) -> None:
         """Take over a connected socket.
@@ -55,6 +56,7 @@
         self.sock = sock
         self.unsent_bytes = 0
         self.finished = False
+        self.awaiting_input = False
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -121,7 +123,7 @@
             try:
                 received = receive(argument)
             except BlockingIOError:
-                await self._wait(anyio.wait_readable)
+                await self._wait_for_input()
                 waited = True
                 continue
             if not waited:
@@ -131,6 +133,13 @@
                 await anyio.lowlevel.cancel_shielded_checkpoint()
             return received
 
+    async def _wait_for_input(self) -> None:
+        self.awaiting_input = True
+        try:
+            await self._wait(anyio.wait_readable)
+        finally:
+            self.awaiting_input = False
+
     @property
     def local_port(self) -> int:
         """The port of this side."""
@@ -181,11 +190,10 @@
         It takes at most `LINGER_S` seconds. The kernel resets a connection that is closed with bytes unread,
         and the last reply would be lost.
         """
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_WR)
-            with anyio.move_on_after(LINGER_S):
-                while await self.read_into(_discarded):
-                    pass
+        self.send_eof()
+        with contextlib.suppress(OSError), anyio.move_on_after(LINGER_S):
+            while await self.read_into(_discarded):
+                pass
 
     def shutdown(self) -> None:
         """End both directions; a task that waits for the socket sees the end of the stream and closes it.
--- a/pinspread/sockets/idle.py
+++ b/pinspread/sockets/idle.py
@@ -24,3 +24,7 @@
     errors: int = 0
     unread: bytes = b""
     unsent: bytes = b""
+
+    def is_answered(self) -> bool:
+        """Return whether nothing that the client sent is unanswered, here or unread in the kernel."""
+        return not self.unread and not self.unsent and self.connection.is_idle()
--- a/pinspread/sockets/limiter.py
+++ b/pinspread/sockets/limiter.py
@@ -1,6 +1,7 @@
 """The limits on open client connections and their memory, and the choice of connections to close."""
 
 from collections.abc import Collection
+from enum import Enum
 
 import anyio
 
@@ -15,9 +16,18 @@
 SILENCE_US = 100_000  # minimum time without a command before a connection may be closed for a new one
 SUBMITTER_GRACE_US = 2_000_000  # a client that submitted messages and is idle for less is closed last
 IDLE_TIMEOUT_US = 2_100_000  # an idle connection is closed after this time even below the limit
+STALLED_TIMEOUT_US = 5_000_000  # a client that does not read its replies is closed after this time
 SWEEP_INTERVAL_S = 0.25
 
 
+class StreamEnd(Enum):
+    """When a client's session is to end the stream."""
+
+    NOT_REQUESTED = 0
+    ONCE_IDLE = 1  # as soon as nothing that the client sent is unanswered
+    AFTER_COMMAND = 2  # behind the command that was read last, though the client has sent more
+
+
 class ClientConnection:
     """A client connection as the limiter counts it.
 
@@ -31,6 +41,7 @@
         has_heartbeat: Its protocol detects lost clients by heartbeats, so it is never closed for being idle.
         reserved_bytes: Memory reserved for it beyond the initial buffer that each connection has.
         timeout_reply: The reply before the close if the client does not send a complete command in time.
+        requested_end: When its session is to end the stream.
     """
 
     __slots__ = (
@@ -38,6 +49,7 @@
         "connection",
         "has_heartbeat",
         "mid_command",
+        "requested_end",
         "reserved_bytes",
         "submitted",
         "timeout_reply",
@@ -53,6 +65,15 @@
         self.has_heartbeat = False
         self.reserved_bytes = 0
         self.timeout_reply = b""
+        self.requested_end = StreamEnd.NOT_REQUESTED
+
+    def is_idle(self) -> bool:
+        """Return whether nothing that the client sent is unanswered, apart from a part of a command.
+
+        Unanswered commands may be unread in the kernel. They may also be read already: a session that has
+        more of them in its buffer, or replies to write, does not wait for input.
+        """
+        return self.connection.awaiting_input and self.connection.is_idle()
 
     @property
     def between_commands(self) -> bool:
@@ -147,7 +168,7 @@
         idle = [c for c in candidates if not c.has_heartbeat and now_us - c.waiting_since_us > SILENCE_US]
         while idle:
             client = min(idle, key=rank)
-            if client.connection.is_idle():
+            if client.is_idle():
                 self._close(client, "limit reached")
                 return True
             idle.remove(client)
@@ -159,21 +180,25 @@
         for client in list(self.clients.values()):
             if client.has_heartbeat or not self._is_overdue(client, now_us):
                 continue
-            # A client that sent part of a command, or none yet, must get a reply or a close in time.
-            if client.timeout_reply and not client.between_commands:
+            # A client that sent part of a command, or none yet, must get a reply or a close in time. A
+            # session that does not wait for input may have written a part of another reply.
+            in_reply = not client.connection.awaiting_input
+            if client.timeout_reply and not client.between_commands and not in_reply:
                 client.connection.try_write(client.timeout_reply)
             self._close(client, "idle" if client.between_commands else "no command in time")
 
     def _is_overdue(self, client: ClientConnection, now_us: int) -> bool:
         waited_us = now_us - client.waiting_since_us
-        idle = client.between_commands
+        limit_us = IDLE_TIMEOUT_US if client.between_commands else COMMAND_TIMEOUT_US
+        if waited_us <= limit_us or client.is_idle():
+            return waited_us > limit_us
         # If the event loop was late, unread bytes may hold the awaited command, and a close now would leave
         # it without a reply. A client that always has unread bytes but never a complete command is still
         # closed, two sweeps later.
-        within_grace = idle or waited_us < COMMAND_TIMEOUT_US + int(2 * SWEEP_INTERVAL_S * US_PER_S)
-        if within_grace and not client.connection.is_idle():
-            return False
-        return waited_us > (IDLE_TIMEOUT_US if idle else COMMAND_TIMEOUT_US)
+        if not client.between_commands:
+            return waited_us >= COMMAND_TIMEOUT_US + int(2 * SWEEP_INTERVAL_S * US_PER_S)
+        # The same holds for commands that its session has read, whose replies may wait for the client.
+        return not client.connection.awaiting_input and waited_us > STALLED_TIMEOUT_US
 
     def _close(self, client: ClientConnection, reason: str) -> None:
         log(
--- a/pinspread/sockets/listener.py
+++ b/pinspread/sockets/listener.py
@@ -102,6 +102,28 @@
         await anyio.lowlevel.checkpoint()  # a flood of new connections must not block the event loop
 
 
+def accept_waiting(
+    sock: socket.socket,
+    tasks: TaskGroup,
+    serve: Callable[..., Coroutine[Any, Any, None]],
+    limiter: Limiter,
+) -> None:
+    """Accept the connections that wait in the backlog, as `accept_forever` does, before it is closed.
+
+    What their clients have sent would be lost with the listening socket.
+    """
+    for _ in range(BACKLOG):
+        if not limiter.admit():
+            return
+        try:
+            connection = Connection(sock.accept()[0])
+        except BlockingIOError:
+            return
+        except OSError:
+            continue  # of a connection that has failed already
+        tasks.start_soon(serve_counted, limiter, serve, connection)
+
+
 async def _accept(sock: socket.socket) -> Connection | None:
     """Accept one connection; None after waiting for one, or if the connection or its accept failed."""
     try:
--- a/pinspread/sockets/read_buffer.py
+++ b/pinspread/sockets/read_buffer.py
@@ -61,13 +61,13 @@
             self.start, self.end = 0, len(unconsumed)
         return memoryview(self.data)[self.end :]
 
-    async def fill(self, connection: Connection) -> bool:
-        """Read once from the connection; false at the end of the stream.
+    async def fill(self, connection: Connection, max_bytes: int | None = None) -> bool:
+        """Read once from the connection, at most `max_bytes`; false at the end of the stream.
 
         Raises:
             ConnectionRefusedError: The buffer would have to grow but must not.
             OSError: The connection is broken.
         """
-        size = await connection.read_into(self.writable())
+        size = await connection.read_into(self.writable()[:max_bytes])
         self.end += size
         return size > 0
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,8 @@
 import policy_helpers
 import pytest
 
+from pinspread.core import log as core_log
+
 # Helper modules whose assertions pytest explains on failure, as it does those of test files.
 pytest.register_assert_rewrite("amqp_dialogue", "amqp_front_sessions", "upgrade_deployment")
 
@@ -43,6 +45,12 @@
     items.sort(key=lambda item: item.get_closest_marker("long") is None)
 
 
+@pytest.fixture
+def clock_of_the_log(monkeypatch):
+    """Resets the log's clock after the test: a service sets one that needs a running event loop."""
+    monkeypatch.setattr(core_log, "_clock", None)
+
+
 @pytest.fixture
 def anyio_backend():
     """Tests marked `anyio` run on asyncio, the event loop that the program itself uses."""
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -1,32 +1,21 @@
 """Restarts with open messages, and the start and end of the process: connections, signals and locks."""
 
 import errno
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 from types import SimpleNamespace
 
 import anyio
 import pytest
-from standins import (
-    Client,
-    HttpStandIn,
-    configuration,
-    listener,
-    own_address,
-    running_courier,
-    serve_on_loopback,
-    wait_until,
-)
+from in_process_service import ENQUEUE, command, running, service
+from standins import Client, HttpStandIn, listener, running_courier, serve_on_loopback, wait_until
 
 from pinspread import sockets
-from pinspread.config import settings
-from pinspread.config.amqp_front import AmqpFile
-from pinspread.core import log as core_log
 from pinspread.core.folder_lock import FolderLock
 from pinspread.core.journal import Journal
-from pinspread.service import Service, ServiceOptions, listeners
+from pinspread.service import listeners
 from pinspread.sockets import limiter
 
-pytestmark = pytest.mark.anyio
+pytestmark = [pytest.mark.anyio, pytest.mark.usefixtures("clock_of_the_log")]
 
 
 async def test_that_an_attempt_may_have_run_is_kept_over_two_restarts(tmp_path):
@@ -62,42 +51,6 @@
         assert [r[4] for r in answering.requests] == [silent.requests[0][4]] and len(endpoint.requests) == 1
 
 
-@pytest.fixture(autouse=True)
-def clock_of_the_log(monkeypatch):
-    """Resets the log's clock after the test: a service sets one that needs a running event loop."""
-    monkeypatch.setattr(core_log, "_clock", None)
-
-
-def service(folder, platform, **more):
-    """The parts of a courier's process, run in this process; setting `leaving` stands for SIGTERM."""
-    effective_settings = settings.read(
-        configuration(folder) | {"listen": own_address(), "discovery": platform}, {}
-    )
-    options = ServiceOptions(effective_settings, AmqpFile(), lambda last: pytest.fail("no SIGHUP"), **more)
-    return Service(options)
-
-
-@asynccontextmanager
-async def running(parts):
-    done = anyio.Event()
-
-    async def run():
-        await parts.run()
-        done.set()
-
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(run)
-        yield done
-        tasks.cancel_scope.cancel()
-
-
-def command(*words):
-    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(w), w) for w in words)
-
-
-ENQUEUE = command(b"ENQUEUE", b"0", b"late", b"c=payment,t=north,d=5000,dest=1", b"x")
-
-
 @pytest.mark.parametrize("known", [True, False])
 async def test_a_complete_request_in_the_last_moment_before_the_end_has_its_answer(tmp_path, known):
     async with serve_on_loopback(HttpStandIn(lambda request: (204, [], b""))) as platform:
