AMQP: confirm what has arrived before Connection.Close at the end of the process

Publishers saw: at SIGTERM Connection.Close came before the confirms of publishes that lay in the kernel or in the session's buffer; a client drops what follows Close, so the publishes stayed unconfirmed. Results that were acknowledged but unread were delivered again at the next start. A session whose frames lay unread after a standstill of the process could be closed for missed heartbeats.

Change: at the end each session sends Close behind the answers to all that it has read, once nothing is unread and nothing waits for replicas, after 0.15 s at the latest, and handles nothing behind it. The front then waits for the clients' answers, up to 0.05 s as before. Silence is judged only while the reader waits and nothing is unread.

--- a/pinspread/amqp/frame_stream.py
+++ b/pinspread/amqp/frame_stream.py
@@ -80,6 +80,14 @@
                 raise ConnectionResetError(f"closed by the other side: {payload.reply_text}")
             raise AmqpError(ReplyCode.COMMAND_INVALID, f"expected {' or '.join(names)}", payload)
 
+    def is_silent(self) -> bool:
+        """Return whether the reader waits for the other side, and nothing that it sent is unread."""
+        return self.connection.awaiting_input and self.connection.is_idle()
+
+    def is_handled(self) -> bool:
+        """Return whether all that the other side has sent was read, and taken from the buffer as frames."""
+        return self.buffer.start == self.buffer.end and self.connection.is_idle()
+
     async def send(self, method: base.Frame, channel: int = 0) -> None:
         """Write one method."""
         await self.write(frame.marshal(method, channel))
@@ -103,7 +111,7 @@
         while True:
             await anyio.sleep(interval_s / 2)
             silent_us = self.clock.now() - self.received_us
-            if silent_us > MISSED_HEARTBEATS * interval_s * US_PER_S:
+            if silent_us > MISSED_HEARTBEATS * interval_s * US_PER_S and self.is_silent():
                 raise ConnectionResetError(
                     f"no heartbeat in {silent_us / US_PER_S:.1f} s, at an interval of {interval_s} s"
                 )
--- a/pinspread/amqp/publishing.py
+++ b/pinspread/amqp/publishing.py
@@ -104,9 +104,13 @@
         engine: Accepts the messages.
         writer: Queues the confirms for writing.
         channels: The open channels of the connection, by their numbers.
+
+    Attributes:
+        unconfirmed: How many accepted messages wait for their replicas before they are confirmed.
     """
 
     def __init__(self, engine: DeliveryEngine, writer: FrameWriter, channels: Mapping[int, Channel]) -> None:
+        self.unconfirmed = 0
         self._engine = engine
         self._writer = writer
         self._channels = channels
@@ -155,10 +159,14 @@
         if self._engine.replication is None:
             self._writer.send(channel.number, commands.Basic.Ack(tag, False))
         else:
+            self.unconfirmed += 1
             self._engine.tasks.start_soon(self._confirm_when_replicated, channel, tag)
 
     async def _confirm_when_replicated(self, channel: Channel, tag: int) -> None:
         """Confirm a message once it is replicated; if it is not in time, the publisher publishes it again."""
-        replicated = await self._engine.wait_committed()
+        try:
+            replicated = await self._engine.wait_committed()
+        finally:
+            self.unconfirmed -= 1
         if replicated and self._channels.get(channel.number) is channel:
             self._writer.send(channel.number, commands.Basic.Ack(tag, False))
--- a/pinspread/amqp/server.py
+++ b/pinspread/amqp/server.py
@@ -20,7 +20,9 @@
 __all__ = ["FRONT_NAME", "AmqpFront"]
 
 HEARTBEAT_S = 30
-SHUTDOWN_S = 0.05  # wait for the last frames to be written to the clients
+ANSWER_TIMEOUT_S = 0.15  # at shutdown: for answers to all that clients have sent
+CLOSE_TIMEOUT_S = 0.05  # and for clients to answer Connection.Close
+CLOSE_POLL_S = 0.005
 
 
 class AmqpFront:
@@ -72,10 +74,17 @@
             self.sessions.discard(session)
 
     async def close(self) -> None:
-        """Notify all clients that the process shuts down."""
-        for session in list(self.sessions):
+        """Answer what clients have sent, notify them of the shutdown, and wait for them briefly."""
+        with anyio.move_on_after(ANSWER_TIMEOUT_S):
+            while not all(session.closing for session in self.sessions):
+                for session in self.sessions:
+                    session.request_end()
+                await anyio.sleep(CLOSE_POLL_S)
+        for session in self.sessions:
             session.announce_shutdown()
-        await anyio.sleep(SHUTDOWN_S)
+        with anyio.move_on_after(CLOSE_TIMEOUT_S):
+            while self.sessions:
+                await anyio.sleep(CLOSE_POLL_S)
 
     async def notify(self, message: Message, final: FinalResult) -> None:
         """Deliver a final result; returns once a consumer has acknowledged it."""
--- a/pinspread/amqp/session.py
+++ b/pinspread/amqp/session.py
@@ -60,6 +60,9 @@
         connection: The connection, which the session closes when it ends.
         client: The limiter's record of the connection.
         heartbeat_s: The heartbeat interval that the client is offered, in seconds.
+
+    Attributes:
+        closing: Connection.Close was sent; frames that the client sends before its answer are ignored.
     """
 
     def __init__(
@@ -76,8 +79,10 @@
         self._stream = FrameStream(connection, services.engine.clock)
         self._writer = FrameWriter(self._stream)
         self._channels: dict[int, Channel] = {}
-        publisher = Publisher(services.engine, self._writer, self._channels)
-        self._methods = ChannelMethods(publisher, services.queues, self._writer, self._channels)
+        self.closing = False
+        self._end_requested = False
+        self._publisher = Publisher(services.engine, self._writer, self._channels)
+        self._methods = ChannelMethods(self._publisher, services.queues, self._writer, self._channels)
 
     async def run(self) -> None:
         """Serve the connection to its end."""
@@ -97,8 +102,23 @@
 
     def announce_shutdown(self) -> None:
         """Notify the client that the process shuts down."""
-        close = commands.Connection.Close(ReplyCode.CONNECTION_FORCED, "shutting down", 0, 0)
-        self._writer.send(CONNECTION_CHANNEL, close)
+        if not self.closing:
+            self.closing = True
+            close = commands.Connection.Close(ReplyCode.CONNECTION_FORCED, "shutting down", 0, 0)
+            self._writer.send(CONNECTION_CHANNEL, close)
+
+    def request_end(self) -> None:
+        """Have the client notified of the shutdown once all that it has sent is answered."""
+        self._end_requested = True
+        if self._connection.awaiting_input:  # otherwise the reader holds frames, and does it behind them
+            self._announce_if_answered()
+
+    def _announce_if_answered(self) -> None:
+        # The answers precede the notification in the writer's queue, and a client that publishes more only
+        # once it has them cannot have sent more yet.
+        in_content = any(channel.contents.method is not None for channel in self._channels.values())
+        if not in_content and not self._publisher.unconfirmed and self._stream.is_handled():
+            self.announce_shutdown()
 
     async def _run_until_end(self, work: Callable[[], Awaitable[None]], scope: anyio.CancelScope) -> None:
         """Run one task of the session; cancel all of them when it ends or the connection is lost."""
@@ -175,8 +195,10 @@
                 if number == CONNECTION_CHANNEL:
                     if not await self._handle_on_connection(payload):
                         return
-                else:
+                elif not self.closing:
                     self._handle_on_channel(number, payload)
+                if self._end_requested:
+                    self._announce_if_answered()
         except AmqpError as error:
             await self._close(error)
 
--- a/tests/test_amqp_front.py
+++ b/tests/test_amqp_front.py
@@ -181,6 +181,35 @@
         assert (await client.next())[0].reply_code == ReplyCode.CONNECTION_FORCED
 
 
+# Guards against publishes that were read, or lay unread, and got no confirm before the connection's close.
+async def test_all_publishes_that_have_arrived_are_confirmed_before_the_process_ends(tmp_path):
+    async with running_courier(tmp_path) as courier:
+        client = await AmqpClient.open(courier.amqp)
+        client.wire.connection.sock.setblocking(True)  # all are in the kernel before the close begins
+        for n in range(80):
+            await client.publish(f"m{n}")
+        client.wire.connection.sock.setblocking(False)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(courier.engine.fronts["amqp"].close)
+            confirmed = 0
+            while not isinstance(method := (await client.next())[0], commands.Connection.Close):
+                confirmed += isinstance(method, commands.Basic.Ack)
+        assert confirmed == 80 == len(courier.engine.messages_by_id)
+        assert method.reply_code == ReplyCode.CONNECTION_FORCED
+
+
+async def test_a_client_whose_frames_are_still_unread_is_not_closed_for_silence(tmp_path):
+    async with running_courier(tmp_path) as courier:
+        client = await AmqpClient.open(courier.amqp)
+        stream = client.wire  # it has nothing to read, and no task that reads
+        stream.received_us -= 10_000_000
+        await client.publish("m1")
+        await wait_until(lambda: not stream.connection.is_idle())  # the confirm
+        with anyio.move_on_after(0.6) as waited:
+            await stream.exchange_heartbeats(1)
+        assert waited.cancelled_caught
+
+
 async def test_another_protocol_is_answered_with_the_protocol_header(tmp_path):
     async with running_courier(tmp_path) as courier:
         host, port = courier.amqp.split(":")
