Take reported limits and listed weights only in a range that an endpoint can mean

Cause: the policy divides a second by the reported limit, and figures from outside were checked from above only. A listed weight could do the same, or give not a number, with many couriers; the tiniest tip_multiple divides by zero.

Change: where they enter the policy, limits and weights outside 0.001 to 1e9 calls a second count as not known; such a report is logged as malformed. A reported limit leaves one call in 20 s, since it would otherwise hold back the next report too. cold_from and tip_multiple have bounds.

--- a/pinspread/http/transport.py
+++ b/pinspread/http/transport.py
@@ -21,6 +21,7 @@
 from pinspread.http.exchange import Exchange, MalformedResponseError, Response
 from pinspread.http.retry_after import parse_retry_after_us
 from pinspread.policy.events import Outcome
+from pinspread.policy.state import known_rate
 from pinspread.sockets import SHOWN_BYTES, Connection, UnexpectedBytesError, dial
 
 PATH, HEALTH_PATH = "/events", "/-/healthy"
@@ -207,6 +208,9 @@
             else:
                 state.limit_remaining = figures.get(LIMIT_REMAINING, 0.0)
                 state.limit_per_s = figures.get(LIMIT_PER_S, 0.0)
+                if state.limit_per_s and not known_rate(state.limit_per_s):
+                    error_text = f"a limit of {state.limit_per_s} calls a second is out of range"
+                    log("malformed_report", error=error_text)  # the policy ignores it
         return response
 
     def _apply_retry_after(self, attempt: Attempt, retry_after_us: int, state: CallState) -> None:
--- a/pinspread/policy/outlier_detection.py
+++ b/pinspread/policy/outlier_detection.py
@@ -4,7 +4,16 @@
 from pinspread.policy.load_balancing import LoadBalancer
 from pinspread.policy.retry_budget import JITTER, backoff_ns
 from pinspread.policy.settings import Idempotency
-from pinspread.policy.state import MS, NEVER, SECOND, Call, Destination, QueuedMessage, TrackedEndpoint
+from pinspread.policy.state import (
+    MS,
+    NEVER,
+    SECOND,
+    Call,
+    Destination,
+    QueuedMessage,
+    TrackedEndpoint,
+    known_rate,
+)
 
 EJECTED_FROM = 0.5  # failure rate above which an endpoint is ejected
 SUSPECT_FROM = 0.25  # failure rate above which messages that must not be repeated are sent after others
@@ -81,8 +90,8 @@
     def record_attempt(self, call: Call, event: AttemptCompleted) -> None:
         """Account for an attempt's outcome; the outcome of a call with several attempts counts once."""
         endpoint, limiter, retry_after_ns = call.endpoint, call.endpoint.limiter, event.retry_after_ns
-        if event.limit_per_s > 0:
-            limiter.limit, limiter.remaining = event.limit_per_s, event.limit_remaining
+        if limit_per_s := known_rate(event.limit_per_s):
+            limiter.limit, limiter.remaining = limit_per_s, event.limit_remaining
         if retry_after_ns:  # the messages of a bundle may have different waits
             self.limits.apply_retry_after(endpoint, retry_after_ns)
         if not call.outcome_pending:
--- a/pinspread/policy/rate_limit.py
+++ b/pinspread/policy/rate_limit.py
@@ -15,6 +15,7 @@
 BURST_POWER = 0.2  # power of the fleet's size by which one sender may exceed its fair share
 CUT_POWER = 0.3  # power of the fleet's size by which a refusal cuts the rate of one of many senders
 MIN_RATE = 1.5  # calls a second that no rate falls below, so that recovery can be seen
+MIN_CAPACITY = 0.05  # calls a second that a reported limit leaves at least
 RATE_SPAN_S = 8.0  # time constant of the mean of delivered rates
 USUAL_RATE_SPAN_S = 60.0  # time constant of the usual rate's decay: longer than outages and throttled times
 SMALL_FLEET_SIZE = 4  # up to this number of senders, each behaves as if it were alone
@@ -38,6 +39,8 @@
     def record_call(self, limiter: RateLimiter) -> None:
         """Delay the limiter's next call by the interval of the rate that this sender may have there."""
         capacity = limiter.limit * max(LOW_REMAINING, limiter.remaining)
+        if limiter.limit:  # or one wrong report would hold back all calls, and with them the next report
+            capacity = max(MIN_CAPACITY, capacity)
         rate = min(limiter.rate or capacity, capacity or limiter.rate)  # a burst must not exhaust the limit
         if rate:
             limiter.next_call_ns = max(self.context.now_ns, limiter.next_call_ns) + int(SECOND / rate)
--- a/pinspread/policy/settings.py
+++ b/pinspread/policy/settings.py
@@ -106,13 +106,20 @@
                 )
         for n, traffic_class in enumerate(self.classes):
             _check_class(n, traffic_class)
-        if not 0 < self.slow_start_fraction <= 1:
+        if not MIN_SLOW_START_FRACTION <= self.slow_start_fraction <= 1:
             raise ValueError(
-                f"settings: cold_from must be above 0 and at most 1, not {self.slow_start_fraction}"
+                f"settings: cold_from must be from {MIN_SLOW_START_FRACTION} to 1, "
+                f"not {self.slow_start_fraction}"
             )
-        if self.overload_multiple <= 0:
-            raise ValueError(f"settings: tip_multiple must be above 0, not {self.overload_multiple}")
+        if not MIN_OVERLOAD_MULTIPLE <= self.overload_multiple <= MAX_OVERLOAD_MULTIPLE:
+            raise ValueError(
+                f"settings: tip_multiple must be from {MIN_OVERLOAD_MULTIPLE} to {MAX_OVERLOAD_MULTIPLE}, "
+                f"not {self.overload_multiple}"
+            )
+
 
+MIN_SLOW_START_FRACTION = 1e-6
+MIN_OVERLOAD_MULTIPLE, MAX_OVERLOAD_MULTIPLE = 0.01, 1e6
 
 # Fields with a bound, and the names by which configuration files know them.
 _POSITIVE = {
--- a/pinspread/policy/state.py
+++ b/pinspread/policy/state.py
@@ -16,6 +16,12 @@
 MS = 1_000_000  # a millisecond, in the clock's nanoseconds
 SECOND = 1_000 * MS
 NEVER = 1 << 62  # later than any time of the clock
+MIN_KNOWN_RATE, MAX_KNOWN_RATE = 1e-3, 1e9  # calls a second: what an endpoint can mean by a limit
+
+
+def known_rate(per_s: float) -> float:
+    """A reported or listed rate in calls a second; 0, which means not known, if it is out of range."""
+    return per_s if MIN_KNOWN_RATE <= per_s <= MAX_KNOWN_RATE else 0.0
 
 
 class PolicyContext:
@@ -202,7 +208,7 @@
         """Apply its entry of the endpoint list."""
         self.zone = entry.zone
         self.kind = entry.kind
-        self.weight = entry.weight
+        self.weight = known_rate(entry.weight)
         self.usable = entry.state is EndpointState.READY
         if entry.state is EndpointState.REMOVED:
             self.mark_removed(now_ns)
