Go on with a new policy after a turn that has raised an exception

The policy may be half changed then, and what it decided in that turn is unknown.

Change: the engine logs the exception, performs nothing of that turn, and gives a new policy the endpoint list and all open messages, as at a restart. Ends of attempts and checks that only the earlier policy knows are kept from it; their messages, and others of their keys, are passed on behind those ends, in order. Four failed turns in a row end the process as before.

--- a/pinspread/core/acceptance.py
+++ b/pinspread/core/acceptance.py
@@ -198,28 +198,33 @@
             self._messages.add_open(message)
 
     def _post_accepted(self, message: Message, recovered: bool = False) -> None:
+        self._context.events.post(self.accepted_event(message, recovered))
+
+    def accepted_event(self, message: Message, recovered: bool = False) -> MessageAccepted:
+        """Return the event that reports an open message to the policy.
+
+        Args:
+            message: The message.
+            recovered: It was accepted before this policy began.
+        """
         rules = message.rules
         if rules is None:
             raise ValueError(f"message {message.id} has no delivery rules")
         clock = self._context.clock
         may_have_run_unix_us = message.may_have_run_unix_us
-        self._context.events.post(
-            MessageAccepted(
-                request=message.number,
-                class_index=0,
-                destination=message.destination,
-                deadline_ns=clock.monotonic(message.deadline_unix_us) * NS_PER_US,
-                key=message.key,
-                tenant=self._context.settings.tenants.get(message.tenant, 0),
-                attempts=message.attempts,
-                may_have_run_ns=clock.monotonic(may_have_run_unix_us) * NS_PER_US
-                if may_have_run_unix_us
-                else 0,
-                may_have_run_zone=message.zone,
-                traffic_class=rules.traffic_class,
-                max_attempts=rules.max_attempts,
-                recovered=recovered,
-            )
+        return MessageAccepted(
+            request=message.number,
+            class_index=0,
+            destination=message.destination,
+            deadline_ns=clock.monotonic(message.deadline_unix_us) * NS_PER_US,
+            key=message.key,
+            tenant=self._context.settings.tenants.get(message.tenant, 0),
+            attempts=message.attempts,
+            may_have_run_ns=clock.monotonic(may_have_run_unix_us) * NS_PER_US if may_have_run_unix_us else 0,
+            may_have_run_zone=message.zone,
+            traffic_class=rules.traffic_class,
+            max_attempts=rules.max_attempts,
+            recovered=recovered,
         )
 
 
--- a/pinspread/core/endpoint_registry.py
+++ b/pinspread/core/endpoint_registry.py
@@ -60,6 +60,14 @@
         }
         self._context.events.post(EndpointsChanged(scope, entries))
 
+    def report_all(self) -> None:
+        """Report the whole list, as it is now, to a policy that knows nothing of it."""
+        entries = [
+            _entry(endpoint, self.blocklist.effective_state(endpoint.id, endpoint.listed))
+            for endpoint in self.endpoints.values()
+        ]
+        self._context.events.post(EndpointsChanged(UpdateScope.CACHED, entries))
+
     def _merge(self, endpoint: Endpoint, reported: EndpointState, state: EndpointState) -> Endpoint:
         """Return the object that represents an endpoint from now on."""
         endpoint.listed = reported
--- a/pinspread/core/engine.py
+++ b/pinspread/core/engine.py
@@ -20,6 +20,7 @@
 from pinspread.core.messages import Attempt, AttemptResult, Endpoint, FinalResult, FinalState, Message
 from pinspread.core.notifications import Notifications
 from pinspread.core.ownership import EngineState, Ownership
+from pinspread.core.policy_rebuild import PolicyRebuild
 from pinspread.core.ports import (
     EngineSettings,
     Front,
@@ -66,6 +67,9 @@
         self.ownership = Ownership(
             context, registry, self.acceptance, self.attempt_runner, self.health_check_runner
         )
+        self._policy_rebuild = PolicyRebuild(
+            context, registry, self.acceptance, self.attempt_runner, self.health_check_runner
+        )
         self._drained = anyio.Event()
         self._performers: dict[type[Action], Callable[[Any, int], None]] = {
             SetTimer: self._set_timer,
@@ -321,7 +325,14 @@
             self._drained.set()
 
     def _decide(self, events: list[Event], now_us: int) -> None:
-        for action in self.policy.handle(now_us * NS_PER_US, events):
+        events = self._policy_rebuild.take(events)
+        try:
+            actions = self.policy.handle(now_us * NS_PER_US, events)
+        except Exception as error:
+            self.policy = self._policy_rebuild.build(self.policy, error)
+            return
+        self._policy_rebuild.succeeded()
+        for action in actions:
             self._performers[type(action)](action, now_us)
         self.attempt_runner.launch()
 
