Soak: hold AMQP results to the stated 0.3 s, and report the consumer's connection

Change: the bound is 0.3 s for both fronts again (and 0.05 s on sockets), the constant of its own is gone, and a lost message's report shows when the consumer of results was connected and lost.

--- a/pinspread/testbed/delivery_ledger.py
+++ b/pinspread/testbed/delivery_ledger.py
@@ -16,6 +16,7 @@
 SOCKET_GRACE_S = 0.05  # every time limit on sockets is this much longer
 RESTART_GRACE_S = 1.5  # from when a restarted courier is ready to notifications that were overdue by then
 RETRY_AFTER_GRACE_S = 0.1  # calls that arrive so soon after a Retry-After are let through
+CONSUMER_TRACE_S = 2.0  # behind a message's deadline, the consumer's events that a violation shows
 FOREVER_S = float("inf")
 
 
@@ -108,7 +109,6 @@
         submitted_s: When it was submitted.
         deadline_s: When it must have ended.
         ordered_by_ack: Its notification has to be acknowledged before the next message of its key is sent.
-        final_grace_s: From its deadline to its notification.
         accepted_s: When the client read that it was accepted; None if it did not.
         calls: The calls with it, in order of arrival.
         offered_s: When the first notification of its final result arrived; None without one.
@@ -122,7 +122,6 @@
     submitted_s: float
     deadline_s: float
     ordered_by_ack: bool = True
-    final_grace_s: float = FINAL_GRACE_S
     accepted_s: float | None = None
     calls: list[Call] = field(default_factory=list)
     offered_s: float | None = None
@@ -182,11 +181,13 @@
     Attributes:
         messages: The submitted messages by id, in order of submission.
         restarts: The restarts of the courier.
+        consumer_events: When the consumer of AMQP results was connected and when that was lost, as text.
     """
 
     def __init__(self, classes: Mapping[str, ClassRules], drain_grace_s: float = 0.25) -> None:
         self.messages: dict[str, SubmittedMessage] = {}
         self.restarts: list[Restart] = []
+        self.consumer_events: list[tuple[float, str]] = []
         self._classes = classes
         self._drain_grace_s = drain_grace_s
         self._destinations: dict[str, int] = {}
@@ -221,6 +222,14 @@
         if message is not None and message.final_s is None:
             message.final_s = time.monotonic()
 
+    def consumer_connected(self) -> None:
+        """Record that the consumer of AMQP results is served from now on."""
+        self.consumer_events.append((time.monotonic(), "connected"))
+
+    def consumer_lost(self, reason: str) -> None:
+        """Record that the connection of the consumer of AMQP results was lost, or was not completed."""
+        self.consumer_events.append((time.monotonic(), f"lost: {reason}"))
+
     def endpoint_listed(self, endpoint: str, destination: int) -> None:
         """Record the destination of an endpoint."""
         self._destinations[endpoint] = destination
@@ -275,11 +284,22 @@
             calls = "; ".join(map(str, message.calls))
             detail = (
                 f"{message.class_name}, deadline {message.deadline_s:.3f}, ended {ended_s}, calls: {calls}"
+                f"{self._describe_consumer(message)}"
             )
             yield Violation(Rule.LOST, message.id, detail)
 
+    def _describe_consumer(self, message: SubmittedMessage) -> str:
+        """Describe what became of the consumer's connection during a message's time, and just behind it."""
+        until_s = message.deadline_s + CONSUMER_TRACE_S
+        events = [
+            f"{at_s:.3f} {event}"
+            for at_s, event in self.consumer_events
+            if message.submitted_s <= at_s <= until_s
+        ]
+        return f"; consumer: {', '.join(events)}" if events else ""
+
     def _latest_end_s(self, message: SubmittedMessage) -> float:
-        latest_s = message.deadline_s + message.final_grace_s + SOCKET_GRACE_S
+        latest_s = message.deadline_s + FINAL_GRACE_S + SOCKET_GRACE_S
         for restart in self.restarts:
             if message.submitted_s <= restart.ready_s and restart.begun_s <= latest_s:
                 latest_s = max(latest_s, restart.ready_s + RESTART_GRACE_S)
--- a/pinspread/testbed/ledger_publishers.py
+++ b/pinspread/testbed/ledger_publishers.py
@@ -13,7 +13,6 @@
 
 CONFIRM_TIMEOUT_S = 0.4
 RECONNECT_S = 0.02
-CONSUMER_GRACE_S = 1.0
 FIRST_KEY = 256  # the keys of publishers differ from those of other clients
 NOTIFIED_STATES = ("failed", "returned")
 PUBLISHER_ERRORS = (*CONNECTION_ERRORS, AmqpError, AssertionError)
@@ -56,8 +55,7 @@
 
     async def _publish(self, client: AmqpClient, tag: int) -> None:
         message = self._source.next_message()
-        # Results wait in a queue for their consumer, whose connection may just have been lost.
-        message.ordered_by_ack, message.final_grace_s = False, CONSUMER_GRACE_S
+        message.ordered_by_ack = False
         self._ledger.submitted(message)
         await client.publish(
             message.id,
@@ -89,10 +87,11 @@
             continue
         try:
             await client.consume()
+            ledger.consumer_connected()
             while True:
                 await _take_result(client, ledger)
-        except PUBLISHER_ERRORS:
-            continue
+        except PUBLISHER_ERRORS as error:
+            ledger.consumer_lost(repr(error))
         finally:
             client.close()
 
