Raise only a suspicion by another table's row of a dead member: healed clusters split anew

Cause, by the logs: after a heal, m1 exchanged tables with m2 and m0 with m3 in the same 60 ms. Each took over the other side's deaths as they stood: m2 and m1 now held m0, m3 and m4 for dead, and those held m1 and m2: the cluster was split anew along another line, until later exchanges. Change: a row of a dead member in an exchanged table raises a suspicion of a member that is held for live, which it can refute; a member that is unknown or dead here is left as before. A member that is really dead is declared so by its suspicion's time-out. Test: two exchanges at once across a healed partition, in memory; fails before (members of each side dead to the other), passes now.

--- a/pinspread/membership/cluster_state.py
+++ b/pinspread/membership/cluster_state.py
@@ -56,9 +56,14 @@
         Args:
             update: The claim.
             now_us: The current time.
-            from_table: Whether it is a row of another member's table, which does not confirm a suspicion.
+            from_table: Whether it is a row of another member's table, which does not confirm a suspicion; one
+                of a dead member only raises a suspicion.
         """
         record = self.members.records.get(update.id)
+        if from_table and update.state == MemberState.DEAD and record is not None and record.is_live:
+            # After a partition, the other side's table holds all members of this side for dead. A suspicion
+            # lets those refute it; declared dead, they would be cut off from this member anew.
+            update = replace(update, state=MemberState.SUSPECT)
         if record is None:
             if update.state in LIVE_STATES:
                 new = MemberRecord(update.id, update.address, update.incarnation, MemberState.DEAD, now_us)
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -16,6 +16,7 @@
 from pinspread.membership.suspicion import suspicion_timeout_us
 
 MS = 1000
+FAST = swim.SwimConfig(period_us=200 * MS, timeout_us=80 * MS)
 
 
 def timeout_us(member, confirmations):
@@ -113,6 +114,43 @@
     assert net.states("m3") == {MemberState.ALIVE}
 
 
+def split(net, *groups):
+    """Cut the links between groups of member ids until every member holds those of other groups for dead."""
+    group_of = {member: number for number, group in enumerate(groups) for member in group}
+    net.cut = {(a, b) for a in group_of for b in group_of if group_of[a] != group_of[b]}
+    net.run(net.now + 60_000 * MS)
+    assert all(net.state(a, b) == MemberState.DEAD for a, b in net.cut)
+
+
+def all_agree(net):
+    return all(net.states(member) == {MemberState.ALIVE} for member in net.members)
+
+
+def test_two_exchanges_at_once_across_a_healed_partition_do_not_split_the_members_anew():
+    """Guards against rows of dead members that are taken over from the other side's table as they are."""
+    net = SimulatedNetwork(4, tuning=FAST)
+    net.run(15_000 * MS)
+    split(net, ["m0", "m1"], ["m2", "m3"])
+    net.cut = set()
+    net.in_flight.clear()
+    for member in net.members.values():  # nothing but the two exchanges is sent meanwhile
+        member.next_probe_us = net.now + 100 * MS
+        member.table_sync.next_us = net.now + 60_000 * MS
+    for sender, receiver in (("m1", "m2"), ("m0", "m3")):
+        member = net.members[sender]
+        table = tuple(Update.from_record(record, sender) for record in member.table.values())
+        message = Sync(sender=sender, sender_address=member.address, incarnation=0, table=table, reply=True)
+        net.send(member, [(net.members[receiver].address, message)])
+    net.run(net.now + 10_000 * MS)
+    assert all_agree(net), {member: net.states(member) for member in net.members}
+
+
+def test_the_table_of_another_member_adds_no_dead_member_that_was_unknown():
+    a = swim.SwimMember("a", "xa")
+    a.apply(Update("b", "xb", 0, MemberState.DEAD, "c"), 0, from_table=True)
+    assert "b" not in a.table
+
+
 def test_ten_percent_loss_kills_nobody():
     net = SimulatedNetwork(8, loss=0.10, seed=4)
     net.run(90_000 * MS)
