Tell a death only to the member it is about when that member is heard from

Change: what is held against the receiver of a message goes along in that message alone, for the dead and those that left as it did for the suspected (the buddy system); nothing is queued. The parameter has the name of what it is, `receiver_id`. Test: an ack to a member held for dead says so, and the queue has nothing of it; fails before.

--- a/pinspread/membership/cluster_state.py
+++ b/pinspread/membership/cluster_state.py
@@ -165,15 +165,20 @@
         """Queue an update, to be passed on to other members, that a member is as in the record."""
         self.gossip.add(Update.from_record(record, reported_by), self.members.size)
 
-    def take_updates(self, first_id: str | None = None) -> tuple[Update, ...]:
-        """Return the updates for one message, and count them as sent; those about `first_id` come first."""
+    def take_updates(self, receiver_id: str | None = None) -> tuple[Update, ...]:
+        """Return the updates for one message, and count them as sent.
+
+        A message to a member that this one does not hold for alive says so, that the receiver can refute it,
+        even if the update has left the queue after all its sends, none of them to it (Lifeguard's buddy
+        system). Such an update goes to the receiver alone: others may know better.
+        """
         updates = []
-        suspicion = self.suspicions.get(first_id) if first_id is not None else None
-        if first_id is not None and suspicion and first_id not in self.gossip:
-            # Lifeguard's buddy system: messages to a suspected member carry the suspicion, so that the member
-            # can refute it even if the update has left the queue after all its sends, none of them to it.
-            updates.append(Update.from_record(self.members.records[first_id], suspicion.raised_by))
-        return (*updates, *self.gossip.take(first_id))
+        record = self.members.records.get(receiver_id) if receiver_id is not None else None
+        if record and record.state != MemberState.ALIVE and record.id not in self.gossip:
+            suspicion = self.suspicions.get(record.id)
+            reported_by = suspicion.raised_by if suspicion else self.members.local_id
+            updates.append(Update.from_record(record, reported_by))
+        return (*updates, *self.gossip.take(receiver_id))
 
 
 def _overrides(update: Update, record: MemberRecord) -> bool:
--- a/pinspread/membership/swim.py
+++ b/pinspread/membership/swim.py
@@ -166,7 +166,7 @@
             return []
         target = self.members.next_probe_target()
         probe = self.detector.begin_probe(target.id, now_us)
-        ping = Ping(**self._header(first_id=target.id), sequence=probe.sequence, target=target.id)
+        ping = Ping(**self._header(receiver_id=target.id), sequence=probe.sequence, target=target.id)
         return [(target.address, ping)]
 
     def _request_indirect_probes(self, probe: Probe) -> Outgoing:
@@ -207,13 +207,13 @@
 
     # --- messages -------------------------------------------------------------------------------------
 
-    def _header(self, first_id: str | None = None) -> MessageHeader:
-        """Return the fields that all messages have; updates about `first_id` come before all others."""
+    def _header(self, receiver_id: str | None = None) -> MessageHeader:
+        """Return the fields that all messages have; updates about the receiver come before all others."""
         return {
             "sender": self.id,
             "sender_address": self.address,
             "incarnation": self.incarnation,
-            "updates": self.cluster.take_updates(first_id),
+            "updates": self.cluster.take_updates(receiver_id),
         }
 
     def receive(self, message: Message, now_us: int) -> Outgoing:
@@ -221,12 +221,9 @@
         self.counts["received"] += 1
         if message.sender == self.id:
             return []
-        known = self.table.get(message.sender)
-        if known and not known.is_live and message.incarnation <= known.incarnation:
-            # The answer informs the sender at once that it is listed as dead or left, so that it refutes it.
-            self.cluster.queue_update(known, self.id)
+        is_joining = message.sender not in self.table
         self._apply_claims(message, now_us)
-        outgoing = self._answer(message, now_us, is_joining=known is None)
+        outgoing = self._answer(message, now_us, is_joining)
         self.counts["sent"] += len(outgoing)
         return outgoing
 
@@ -258,7 +255,7 @@
         address = message.sender_address
         match message:
             case Ping() if message.target == self.id:
-                return [(address, Ack(**self._header(first_id=message.sender), sequence=message.sequence))]
+                return [(address, Ack(**self._header(receiver_id=message.sender), sequence=message.sequence))]
             case Ack():
                 relay = self.detector.acknowledge(message.sequence, message.sender)
                 if relay:
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -145,6 +145,19 @@
     assert all_agree(net), {member: net.states(member) for member in net.members}
 
 
+def test_a_member_held_for_dead_is_told_so_and_nobody_else_is():
+    """Guards against outdated deaths that gossip carries to members that already know of the return."""
+    observer, returned = (swim.SwimMember(f"m{i}", f"a{i}", rng=random.Random(i)) for i in (1, 2))
+    for state in (MemberState.ALIVE, MemberState.DEAD):
+        observer.apply(Update("m2", "a2", 0, state, "m3"), 0)
+    observer.cluster.gossip.clear()
+    returned.apply(Update("m1", "a1", 0, MemberState.ALIVE, "m1"), 0)
+    ping = next(m for _, m in returned.tick(0) if isinstance(m, Ping))
+    ((_, ack),) = observer.receive(ping, 1)
+    assert ack.updates == (Update("m2", "a2", 0, MemberState.DEAD, "m1"),)
+    assert "m2" not in observer.cluster.gossip
+
+
 def test_the_table_of_another_member_adds_no_dead_member_that_was_unknown():
     a = swim.SwimMember("a", "xa")
     a.apply(Update("b", "xb", 0, MemberState.DEAD, "c"), 0, from_table=True)
