Merge a healed partition in one interval of exchanges: ask a dead member each time, and again soon

Cause: while members were held for dead, an exchange of tables went to one of them by the toss of a coin, so in 6 s (the interval is 5 s) no member may have asked. Change: each exchange goes to a live member and, if there are dead ones, to one of those; when a member returns while others are still dead, the next exchange is due after a probe period.

--- a/pinspread/membership/swim.py
+++ b/pinspread/membership/swim.py
@@ -222,8 +222,11 @@
         if message.sender == self.id:
             return []
         is_joining = message.sender not in self.table
+        down_count = len(self.members.down)
         self._apply_claims(message, now_us)
         outgoing = self._answer(message, now_us, is_joining)
+        if len(self.members.down) < down_count:
+            self.table_sync.hasten(now_us)
         self.counts["sent"] += len(outgoing)
         return outgoing
 
--- a/pinspread/membership/table_sync.py
+++ b/pinspread/membership/table_sync.py
@@ -11,7 +11,6 @@
 from pinspread.membership.members import LIVE_STATES, MemberRecord, MemberState, MemberTable
 
 MAX_TABLE_ROWS = 400  # in one message; with about 50 bytes a row it fits a datagram
-_SYNC_WITH_DEAD_PROBABILITY = 0.5  # if there are dead members
 
 
 class TableSync:
@@ -44,7 +43,7 @@
         self.seeds = [address for address in addresses if address != self._local_address]
 
     def begin(self, now_us: int) -> list[str]:
-        """Begin an exchange, and return the addresses to send the table to.
+        """Begin an exchange, and return the addresses to send the table to: a live member and a dead one.
 
         While no other member is live, the table goes to the seeds, if there are any, and the next exchange is
         due after a probe period.
@@ -53,17 +52,25 @@
         self.next_us = now_us + (self._config.period_us if is_isolated else self._config.sync_us)
         if is_isolated and self.seeds:
             return self.seeds
+        receivers = self._members.pick(1, states=LIVE_STATES)
         dead = self._dead_ids()
-        if dead and (is_isolated or self._rng.random() < _SYNC_WITH_DEAD_PROBABILITY):
+        if dead:
             # After a partition has healed, each side still takes the other for dead; this merges them again.
-            return [self._members.records[self._rng.choice(dead)].address]
-        if is_isolated:
-            return []
-        return [record.address for record in self._members.pick(1, states=LIVE_STATES)]
+            receivers.append(self._members.records[self._rng.choice(dead)])
+        return [record.address for record in receivers]
+
+    def hasten(self, now_us: int) -> None:
+        """Exchange tables again after a probe period, as a member has returned, if others are still dead.
+
+        They may have returned as well, as after a partition, and gossip does not reach them from members that
+        they do not probe.
+        """
+        if self._dead_ids():
+            self.next_us = min(self.next_us, now_us + self._config.period_us)
 
     def _dead_ids(self) -> list[str]:
         records = self._members.records
-        return [id_ for id_ in self._members.down if records[id_].state == MemberState.DEAD]
+        return [id_ for id_ in sorted(self._members.down) if records[id_].state == MemberState.DEAD]
 
     def sample(self) -> list[MemberRecord]:
         """Return the table, or as many of its records as fit a message."""
--- a/tests/test_swim.py
+++ b/tests/test_swim.py
@@ -6,6 +6,7 @@
 
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -145,6 +146,17 @@
     assert all_agree(net), {member: net.states(member) for member in net.members}
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_a_healed_partition_has_one_table_after_one_interval_of_exchanges(seed):
+    """Guards against a merge that is left to chance."""
+    net = SimulatedNetwork(5, seed=seed, tuning=FAST)
+    net.run(15_000 * MS)
+    split(net, ["m0", "m1"], ["m2", "m3"], ["m4"])
+    net.cut = set()
+    net.run(net.now + FAST.sync_us + 5 * FAST.period_us)
+    assert all_agree(net), {member: net.states(member) for member in net.members}
+
+
 def test_a_member_held_for_dead_is_told_so_and_nobody_else_is():
     """Guards against outdated deaths that gossip carries to members that already know of the return."""
     observer, returned = (swim.SwimMember(f"m{i}", f"a{i}", rng=random.Random(i)) for i in (1, 2))
@@ -158,6 +170,21 @@
     assert "m2" not in observer.cluster.gossip
 
 
+def test_tables_are_exchanged_again_soon_when_a_member_returns_while_others_are_dead():
+    """Guards against two members that hold each other for dead: they do not probe each other."""
+    a = swim.SwimMember("a", "xa")
+    for other in ("b", "c"):
+        for state in (MemberState.ALIVE, MemberState.DEAD):
+            a.apply(Update(other, f"x{other}", 0, state, "d"), 0)
+    a.table_sync.next_us = 10**9
+    a.receive(Ping(sender="b", sender_address="xb", incarnation=1, sequence=1, target="a"), 5)
+    assert a.table_sync.next_us == 5 + a.config.period_us
+    assert set(a.table_sync.begin(a.table_sync.next_us)) == {"xb", "xc"}  # a live member and a dead one
+    a.table_sync.next_us = 10**9
+    a.receive(Ping(sender="c", sender_address="xc", incarnation=1, sequence=2, target="a"), 6)
+    assert a.table_sync.next_us == 10**9  # nobody is dead any more
+
+
 def test_the_table_of_another_member_adds_no_dead_member_that_was_unknown():
     a = swim.SwimMember("a", "xa")
     a.apply(Update("b", "xb", 0, MemberState.DEAD, "c"), 0, from_table=True)
