Count what a replica has written only once it is written, and never show a generation without its data

What could be lost: everything that an owner had taken on, at the kill of the owner's machine, if its replica's disk failed just before. Cause: a replica counted bytes, and made a new generation current, before its file was written and renamed. Where the rename failed (ENOSPC, EIO), the replica held generation N with no data until the owner came again; to a successor that is the newest, so it found no open message. In the same way a removal that failed half way left a generation without its data, and a failed `close` a size that the owner's next chunk never fitted (refused for good: `out of order: at 15, has 10`). Change: the file is cut off where data goes, then written, then counted; a generation is current once its file has its name; a removal takes the current generation last; an announcement takes the size from the file. `meta` and the generation's file are replaced atomically. The test of the decisions asks for the same sizes, by the new step that counts.

--- a/pinspread/replication/replica.py
+++ b/pinspread/replication/replica.py
@@ -74,8 +74,8 @@
         if requester != self.owner and requester not in self.takeover_candidates:
             self.takeover_candidates.append(requester)
 
-    def place(self, token: int, generation: int, base: int, offset: int, length: int) -> WriteTarget:
-        """Decide which file `length` bytes at an offset are written to, and count them in its size.
+    def place(self, token: int, generation: int, base: int, offset: int) -> WriteTarget:
+        """Decide which file data at an offset is written to; that file is cut off at the offset first.
 
         Raises:
             ReplicaRefusedError: The token is not the one that was accepted, or the data leaves a gap.
@@ -85,15 +85,22 @@
         if generation == self.generation:
             if offset > self.size:
                 raise ReplicaRefusedError(f"out of order: at {offset}, has {self.size}")
-            self.size = offset + length
+            self.size = offset
             return WriteTarget.CURRENT
         if generation != self.incoming_generation:
             self._begin_incoming(generation, base, offset)
         if offset > self.incoming_size:
             raise ReplicaRefusedError(f"out of order: at {offset}, has {self.incoming_size}")
-        self.incoming_size = offset + length
+        self.incoming_size = offset
         return WriteTarget.INCOMING
 
+    def count_written(self, target: WriteTarget, length: int) -> None:
+        """Count bytes that were written at the end of a file."""
+        if target is WriteTarget.CURRENT:
+            self.size += length
+        else:
+            self.incoming_size += length
+
     def _begin_incoming(self, generation: int, base: int, offset: int) -> None:
         if offset or generation < self.generation:
             raise ReplicaRefusedError(
@@ -103,24 +110,27 @@
         self.incoming_size = 0
         self.incoming_base = base
 
-    def promote_incoming(self) -> bool:
-        """Make the incoming generation the current one if it is complete; return whether it was."""
-        if not self.incoming_generation or self.incoming_size < self.incoming_base:
-            return False
+    @property
+    def incoming_is_complete(self) -> bool:
+        """Whether there is an incoming generation that may take the current one's place."""
+        return self.incoming_generation != 0 and self.incoming_size >= self.incoming_base
+
+    def promote_incoming(self) -> None:
+        """Make the incoming generation, whose file has taken the current one's place, the current one."""
         self.generation = self.incoming_generation
         self.size = self.incoming_size
-        self._forget_incoming()
+        self.forget_incoming()
         self.takeover_token = 0  # a new generation means that the owner serves again
         self.takeover_candidates = []
-        return True
 
     def clear(self) -> None:
         """Reset the generations and sizes; the tokens and the takeover candidates are kept."""
         self.generation = 0
         self.size = 0
-        self._forget_incoming()
+        self.forget_incoming()
 
-    def _forget_incoming(self) -> None:
+    def forget_incoming(self) -> None:
+        """Begin an incoming generation from its start if one comes."""
         self.incoming_generation = 0
         self.incoming_size = 0
         self.incoming_base = 0
--- a/pinspread/replication/replica_server.py
+++ b/pinspread/replication/replica_server.py
@@ -115,20 +115,20 @@
         store.replica.replicas = [str(replica) for replica in request.replicas]
         store.save()
         data = store.data()
+        # A write that failed may have left more, or less, in the file than was counted. The owner sends what
+        # follows the size that it is told.
+        store.replica.size = len(data)
         return ReplicaContent(store.replica.generation, len(data), range_checksums(data))
 
     async def _append(self, store: "ReplicaStore", request: AppendData, _sender: str) -> Answer:
-        length = len(request.data)
-        target = store.replica.place(
-            request.fencing_token, request.generation, request.base, request.offset, length
-        )
+        target = store.replica.place(request.fencing_token, request.generation, request.base, request.offset)
         if self._node.config.sync_to_disk:
             # In a thread: a slow sync would block the event loop, and keep this node from signalling that it
             # is alive.
             await anyio.to_thread.run_sync(store.write, target, request.offset, request.data, True)
         else:
             store.write(target, request.offset, request.data)
-        return Acknowledgement(request.generation, request.offset + length)
+        return Acknowledgement(request.generation, request.offset + len(request.data))
 
     async def _fetch(self, store: "ReplicaStore", request: FetchSnapshot, sender: str) -> Answer:
         store.replica.fence(request.fencing_token, sender)
--- a/pinspread/replication/store.py
+++ b/pinspread/replication/store.py
@@ -84,10 +84,8 @@
 
     def save(self) -> None:
         """Write the `meta` file; called before an answer is sent that depends on its fields."""
-        new_path = self.folder / f"{META_FILE}.new"
         stored = {key: getattr(self.replica, field.name) for key, field in STORED_FIELDS.items()}
-        new_path.write_bytes(orjson.dumps(stored))
-        os.replace(new_path, self.folder / META_FILE)
+        _replace(self.folder / META_FILE, orjson.dumps(stored))
 
     def data(self) -> bytes:
         """Return the newest complete generation."""
@@ -95,9 +93,16 @@
         return path.read_bytes() if path.exists() else b""
 
     def clear(self) -> None:
-        """Remove the data; the fields of the `meta` file are kept."""
-        for path in [*self.folder.glob("journal.*"), *self.folder.glob(INCOMING_FILE)]:
-            path.unlink()
+        """Remove the data; the fields of the `meta` file are kept.
+
+        The current generation goes last: where a file cannot be removed, it stays with its data.
+        """
+        current = self._journal_path(self.replica.generation)
+        self.replica.forget_incoming()
+        for path in [self.folder / INCOMING_FILE, *self.folder.glob("journal.*")]:
+            if path != current:
+                path.unlink(missing_ok=True)
+        current.unlink(missing_ok=True)
         self.replica.clear()
         self.save()
 
@@ -115,13 +120,22 @@
         incoming = target is WriteTarget.INCOMING
         path = self.folder / INCOMING_FILE if incoming else self._journal_path(self.replica.generation)
         _write_at(path, offset, data, sync)
+        self.replica.count_written(target, len(data))
+        if incoming and self.replica.incoming_is_complete:
+            self._promote_incoming(sync)
+
+    def _promote_incoming(self, sync: bool) -> None:
+        """Make the incoming generation the current one, once its file has the name of a current one.
+
+        A successor that reads a generation without its data would take the owner's work for finished.
+        """
         previous = self.replica.generation
-        if incoming and self.replica.promote_incoming():
-            os.replace(path, self._journal_path(self.replica.generation))
-            self.save()
-            if sync:
-                _sync_folder(self.folder)
-            self._journal_path(previous).unlink(missing_ok=True)
+        os.replace(self.folder / INCOMING_FILE, self._journal_path(self.replica.incoming_generation))
+        self.replica.promote_incoming()
+        self.save()
+        if sync:
+            _sync_folder(self.folder)
+        self._journal_path(previous).unlink(missing_ok=True)
 
     def _journal_path(self, generation: int) -> Path:
         return self.folder / f"journal.{generation}"
@@ -193,9 +207,9 @@
         """Store the generation.
 
         Raises:
-            OSError: The file cannot be written.
+            OSError: The file cannot be written; it is as before.
         """
-        self.path.write_text(str(generation))
+        _replace(self.path, str(generation).encode())
 
 
 def _is_stored_value(value: object, type_: type) -> bool:
@@ -207,6 +221,13 @@
     return isinstance(value, type_)
 
 
+def _replace(path: Path, data: bytes) -> None:
+    """Replace a file atomically."""
+    new_path = path.with_name(f"{path.name}.new")
+    new_path.write_bytes(data)
+    os.replace(new_path, path)
+
+
 def _write_at(path: Path, offset: int, data: bytes, sync: bool) -> None:
     fd = os.open(path, os.O_CREAT | os.O_WRONLY, 0o600)
     try:
--- a/tests/test_replication_decisions.py
+++ b/tests/test_replication_decisions.py
@@ -126,7 +126,7 @@
 )
 def test_where_a_replica_puts_data(token, generation, at, said):
     replica = Replica("a", fencing_token=5, generation=7, size=10)
-    result = result_or_refusal(replica.place, token, generation, 6, at, 2)
+    result = result_or_refusal(replica.place, token, generation, 6, at)
     assert result is said if isinstance(said, WriteTarget) else result.startswith(said)
 
 
@@ -134,14 +134,18 @@
     replica = Replica(
         "a", fencing_token=5, generation=7, size=10, takeover_token=3, takeover_candidates=["b"]
     )
-    assert replica.place(5, 8, 6, 0, 4) is WriteTarget.INCOMING and not replica.promote_incoming()
-    assert (replica.generation, replica.size) == (7, 10)
-    assert replica.place(5, 8, 6, 4, 2) is WriteTarget.INCOMING and replica.promote_incoming()
+    assert replica.place(5, 8, 6, 0) is WriteTarget.INCOMING
+    replica.count_written(WriteTarget.INCOMING, 4)
+    assert (replica.generation, replica.size, replica.incoming_is_complete) == (7, 10, False)
+    assert replica.place(5, 8, 6, 4) is WriteTarget.INCOMING and not replica.incoming_is_complete
+    replica.count_written(WriteTarget.INCOMING, 2)
+    assert replica.incoming_is_complete
+    replica.promote_incoming()
     assert (replica.generation, replica.size) == (8, 6)
     assert (replica.takeover_token, replica.takeover_candidates) == (0, [])
     replica.fence(9, "c")
     assert replica.takeover_candidates == ["c"]
-    assert result_or_refusal(replica.place, 5, 8, 6, 6, 1).startswith("fenced")
+    assert result_or_refusal(replica.place, 5, 8, 6, 6).startswith("fenced")
     assert result_or_refusal(replica.accept_owner, 8).startswith("fenced")
 
 
--- a/tests/test_replication_service.py
+++ b/tests/test_replication_service.py
@@ -1,10 +1,14 @@
 """The replication service: what a replica stores, acknowledges and refuses, and what an owner waits for."""
 
 import os
+import random
 from dataclasses import replace
+from pathlib import Path
 
 import anyio
 import pytest
+from failing_os import FailingOs
+from replication_helpers import JournalOwner
 
 from pinspread.membership import codec
 from pinspread.membership.members import MemberState
@@ -12,6 +16,7 @@
 from pinspread.membership.service import MembershipConfig, MembershipService
 from pinspread.membership.swim import SwimConfig
 from pinspread.replication import protocol
+from pinspread.replication import store as store_module
 from pinspread.replication.config import ReplicationConfig
 from pinspread.replication.replica import Replica
 from pinspread.replication.service import ReplicationService
@@ -81,6 +86,46 @@
     assert answer(service, SEND)["t"] == "have"
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_what_a_replica_acknowledged_is_there_whatever_calls_failed(service, tmp_path, monkeypatch, seed):
+    """Guards against bytes that count though they were not written, and generations without their data."""
+    failing_os = FailingOs(("pwrite", "ftruncate", "open", "replace", "close"), seed, share=0.3)
+    monkeypatch.setattr(store_module, "os", failing_os)
+    owner, draw = JournalOwner(lambda message: answer(service, message)), random.Random(seed)
+    for _ in range(60):
+        (owner.rewrite if draw.random() < 0.3 else owner.append)(draw.randbytes(draw.randint(1, 12)))
+        failing_os.failing = draw.random() < 0.6
+        owner.send_all()
+        failing_os.failing = False
+        owner.check(service.stores.get_or_create("a"))
+        owner.check(ReplicaStore(tmp_path, "a"))  # as after a kill
+    owner.send_all()
+    assert service.stores["a"].data() == owner.data
+
+
+def test_a_replica_whose_file_cannot_be_removed_keeps_its_generation_with_its_data(
+    service, tmp_path, monkeypatch
+):
+    answer(service, SEND)
+    answer(service, DATA | {"bytes": b"base"})
+    store = service.stores["a"]
+    (store.folder / "coming").write_bytes(b"part")
+    unlink = Path.unlink
+
+    def unlink_or_fail(path, missing_ok=False):
+        if path.name == "coming":
+            raise OSError("injected")
+        unlink(path, missing_ok)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(Path, "unlink", unlink_or_fail)
+        with pytest.raises(OSError, match="injected"):
+            store.clear()
+    assert (store.replica.generation, store.data()) == (7, b"base")
+    store.clear()
+    assert store.replica.generation == 0 and not list(store.folder.glob("journal*"))
+
+
 def test_a_replica_removes_its_data_but_not_the_token_when_the_owner_says_so(service, tmp_path):
     answer(service, SEND)
     answer(service, DATA | {"bytes": b"base"})
