--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -312,7 +312,14 @@
         self.size_bytes = len(data)
         self.incomplete = False
         if self.observer is not None:
-            self.observer.rewritten(data)
+            self._report_rewrite(self.observer, data)
+
+    def _report_rewrite(self, observer: JournalObserver, data: bytes) -> None:
+        try:
+            observer.rewritten(data)
+        except OSError as error:
+            self.incomplete = True  # the next record is preceded by another rewrite, which is reported
+            raise JournalFullError(f"the rewrite of {self.path} cannot be replicated: {error}") from None
 
     def _replace_file(self, data: bytes) -> int:
         """Replace the file by one with this content; return its descriptor. On an error the old one stays."""
--- a/pinspread/replication/log.py
+++ b/pinspread/replication/log.py
@@ -92,11 +92,15 @@
     record_times_us: "array[int]" = field(default_factory=_empty_array)
     generation_floor: int = 0
 
+    def next_generation(self, wanted: int) -> int:
+        """Return the number of the next generation: `wanted` if that is high enough."""
+        # If the clock was set back, the wanted number is lower than before, and replicas would refuse all
+        # data as older than what they have.
+        return max(wanted, self.generation + 1, self.generation_floor + 1)
+
     def rewrite(self, data: bytes, generation: int, now_us: int = 0) -> None:
         """Start a new generation with this data; `generation` is its number if that is high enough."""
-        # If the clock was set back, `generation` is lower than before, and replicas would refuse all data as
-        # older than what they have.
-        self.generation = max(generation, self.generation + 1, self.generation_floor + 1)
+        self.generation = self.next_generation(generation)
         self.data = bytearray()
         self.base = len(data)
         self.record_ends = _empty_array()
--- a/pinspread/replication/primary.py
+++ b/pinspread/replication/primary.py
@@ -67,10 +67,11 @@
         """Replicate the journal's new content after a rewrite, as a new generation.
 
         Raises:
-            OSError: The generation cannot be stored.
+            OSError: The generation cannot be stored; the replicas stay with the one before.
         """
-        self.log.rewrite(data, clock.unix_us(), clock.monotonic_us())
-        self.generation_file.write(self.log.generation)
+        generation = self.log.next_generation(clock.unix_us())
+        self.generation_file.write(generation)
+        self.log.rewrite(data, generation, clock.monotonic_us())
         self._notify_grown()
 
     # --- called by the engine -----------------------------------------------------------------------
--- a/tests/test_failing_folder.py
+++ b/tests/test_failing_folder.py
@@ -1,12 +1,13 @@
 """A state folder whose writes fail for a while: what was accepted is owed, and what ended is not recalled."""
 
 import errno
-import os
 import random
 import time
+from contextlib import suppress
 
 import anyio
 import pytest
+from failing_os import FailingOs
 from platform_helpers import acknowledging_platform, delayed_reply
 from standins import Client, HttpStandIn, running_courier, serve_on_loopback, wait_until
 
@@ -15,32 +16,6 @@
 from pinspread.core.messages import FinalResult, FinalState, Message
 from pinspread.errors import JournalFullError
 
-FAILING = ("write", "ftruncate", "rename", "open", "close")
-
-
-class FailingOs:
-    """The module `os`, whose listed calls fail while `failing` is set, some after half of a write."""
-
-    def __init__(self, calls, seed=1):
-        self.calls, self.failing, self.random = set(calls), False, random.Random(seed)
-
-    def __getattr__(self, name):
-        call = getattr(os, name)
-        if name not in FAILING:
-            return call
-
-        def maybe_failing(*arguments):
-            if not self.failing or name not in self.calls:
-                return call(*arguments)
-            if name == "write" and self.random.random() < 0.5:
-                fd, data = arguments
-                return call(fd, data[: len(data) // 2])
-            if name == "close":
-                call(*arguments)
-            raise OSError(self.random.choice((errno.ENOSPC, errno.EIO)), "injected")
-
-        return maybe_failing
-
 
 def message(number, **more):
     return Message(number, f"id{number}", "payment", "all", 1, 0, "", 10**18, b"body", "resp", **more)
@@ -98,6 +73,46 @@
     assert not ended & found.keys()
 
 
+class Replicated:
+    """An observer of a journal that keeps what a replica gets; no rewrite can be reported while `failing`."""
+
+    def __init__(self):
+        self.data, self.failing, self.refused = b"", False, 0
+
+    def appended(self, record):
+        self.data += record
+
+    def rewritten(self, data):
+        if self.failing:
+            self.refused += 1
+            raise OSError(errno.ENOSPC, "injected")
+        self.data = data
+
+
+def test_a_rewrite_that_cannot_be_replicated_is_tried_again_and_nothing_is_missing_from_the_replica(tmp_path):
+    """Guards against an `OSError` in place of a full journal, and a replica that stays behind."""
+    journal = Journal(str(tmp_path), 20_000)
+    journal.observer = replica = Replicated()
+    journal.recover()
+    accepted = {}
+    for number in range(1, 600):
+        replica.failing = number % 40 > 25
+        taken = message(number)
+        try:
+            journal.message_accepted(taken)
+        except JournalFullError:
+            continue
+        accepted[number] = taken
+        if len(accepted) > 5:
+            with suppress(JournalFullError):
+                journal.message_ended(accepted.pop(next(iter(accepted))))
+    (tmp_path / "replica").mkdir()
+    (tmp_path / "replica" / journal.path.name).write_bytes(replica.data)
+    assert accepted.keys() <= recovered(tmp_path / "replica").open_messages.keys()
+    assert accepted.keys() <= recovered(tmp_path).open_messages.keys()
+    assert replica.refused and replica.data == journal.path.read_bytes()
+
+
 def test_an_attempt_whose_start_is_not_recorded_is_not_in_flight(tmp_path, failing_os):
     module = failing_os("write", "open")
     journal = Journal(str(tmp_path), 3_000_000)
