--- a/pinspread/replication/failover.py
+++ b/pinspread/replication/failover.py
@@ -4,8 +4,8 @@
 
 import anyio
 
-from pinspread.errors import JournalFormatError, JournalFullError
 from pinspread.replication import clock, fleet, placement
+from pinspread.replication.journal_bytes import STORAGE_ERRORS
 from pinspread.replication.takeover import TakeoverResult
 
 if TYPE_CHECKING:
@@ -45,7 +45,14 @@
             if not self._engine.serving or self._engine.stopping:
                 continue
             for owner in self._stores.owners():
-                await self.check_owner(owner)
+                await self._check_owner_or_log(owner)
+
+    async def _check_owner_or_log(self, owner: str) -> None:
+        """Check an owner; where a file cannot be written or read now, the next check tries again."""
+        try:
+            await self.check_owner(owner)
+        except STORAGE_ERRORS as error:
+            self._node.events("copies_check_failed", owner=owner, error=str(error))
 
     async def check_owner(self, owner: str) -> None:
         """Take over an owner's work, release its lease or remove its replica, depending on its state."""
@@ -87,7 +94,7 @@
             result = await self._takeover.attempt(owner, token)
             if result is TakeoverResult.ALREADY_DONE:
                 self._mark_taken_over(owner, token)
-        except (JournalFullError, JournalFormatError, OSError) as error:
+        except STORAGE_ERRORS as error:
             self._node.events("copies_not_taken_over", owner=owner, error=str(error))
 
     def _mark_taken_over(self, owner: str, token: int) -> None:
--- a/pinspread/replication/journal_bytes.py
+++ b/pinspread/replication/journal_bytes.py
@@ -8,7 +8,10 @@
 from pinspread.core import journal_records
 from pinspread.core.journal import Journal
 from pinspread.core.messages import Message
+from pinspread.errors import JournalFormatError, JournalFullError
 
+# Why a journal or a replica cannot be read or written now.
+STORAGE_ERRORS = (JournalFormatError, JournalFullError, OSError)
 _NO_LIMIT_BYTES = 1 << 30
 
 
--- a/pinspread/replication/recovery.py
+++ b/pinspread/replication/recovery.py
@@ -7,7 +7,6 @@
 import anyio
 
 from pinspread.core.log import log
-from pinspread.errors import JournalFullError
 from pinspread.replication import journal_bytes, snapshots
 from pinspread.replication.ownership import is_first_token
 from pinspread.replication.store import GenerationFile
@@ -185,7 +184,14 @@
             token = self._node.ownership.local_token()
             is_confirmed = token == self._node.ownership.confirmed_fencing_token
             if token and not is_confirmed and self._engine.serving:
-                await self._confirm(token)
+                await self._confirm_or_log(token)
+
+    async def _confirm_or_log(self, token: int) -> None:
+        """Confirm a token; where a journal cannot be read or written now, the next round tries again."""
+        try:
+            await self._confirm(token)
+        except journal_bytes.STORAGE_ERRORS as error:
+            self._node.events("copies_kept_on", error=str(error))
 
     async def _confirm(self, token: int) -> None:
         """Drop messages that others have taken over meanwhile, then let the engine accept and send again."""
@@ -197,11 +203,7 @@
         released = await self._released_work(replica_snapshots)
         if not released.complete or self._node.ownership.local_token() != token:
             return
-        try:
-            count = self._engine.release(released.ids)
-        except JournalFullError as error:
-            self._node.events("copies_kept_on", error=str(error))
-            return
+        count = self._engine.release(released.ids)
         self._node.ownership.confirmed_fencing_token = token
         self._node.events("copies_gave_up", count=count, adopted=released.taken_over)
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -14,7 +14,7 @@
 
 from pinspread.core.engine import DeliveryEngine
 from pinspread.core.journal import Journal
-from pinspread.errors import JournalFullError
+from pinspread.errors import JournalFormatError, JournalFullError
 from pinspread.leases.service import LeaseService
 from pinspread.membership.members import MemberState
 from pinspread.membership.messages import Update
@@ -135,6 +135,59 @@
     assert store.replica.takeover_token == TOKEN
 
 
+def run_until(run, event):
+    """Run a part of the service until an event is set."""
+
+    async def scenario():
+        with anyio.fail_after(5):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(run)
+                await event.wait()
+                tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
+def test_a_replica_that_cannot_be_removed_now_does_not_end_the_watch_of_the_owners(service, tmp_path, capfd):
+    """Guards against an error of the disk that ended all parts of the cluster."""
+    store = store_of_lost_node(service, journal_of(tmp_path / "a", 1), ["k"])
+    removed = anyio.Event()
+    outcomes = [OSError("injected"), JournalFormatError("injected"), None]
+
+    async def remove(owner):
+        if outcome := outcomes.pop(0):
+            raise outcome
+        store.clear()
+        removed.set()
+
+    service.membership.member.apply(Update("a", "127.0.0.2:1", 1, MemberState.ALIVE, "a"), 0)
+    with mock.patch.object(service.failover._retention, "remove_if_unneeded", remove):
+        run_until(service.failover.run, removed)
+    assert capfd.readouterr().out.count('"event":"copies_check_failed"') == 2
+
+
+def test_a_journal_that_cannot_be_read_now_does_not_end_the_confirmation_of_tokens(
+    service, engine, tmp_path, capfd
+):
+    """Guards against an error of the disk, or of a journal's form, that ended all parts of the cluster."""
+    own = ReplicaSnapshot(7, journal_of(tmp_path / "k", 1, 2), ["a"], ["a"], 0)
+    released = anyio.Event()
+    outcomes = [OSError("injected"), JournalFormatError("injected"), JournalFullError("injected")]
+
+    def release(ids):
+        if outcomes:
+            raise outcomes.pop(0)
+        released.set()
+        return 1
+
+    engine.release.side_effect = release
+    service.node.ownership.confirmed_fencing_token = TOKEN - 1
+    with peer_answers(service, own, journal_of(tmp_path / "a", 2)):
+        run_until(service.recovery.run, released)
+    assert capfd.readouterr().out.count('"event":"copies_kept_on"') == 3
+    assert service.node.ownership.confirmed_fencing_token == TOKEN
+
+
 def test_a_replica_that_is_not_chosen_any_more_goes_once_its_owner_consents(service, tmp_path):
     store = store_of_lost_node(service, journal_of(tmp_path / "a", 1), ["k"])
     membership = service.membership
@@ -197,15 +250,8 @@
     service.node.ownership.confirmed_fencing_token = TOKEN - 1
     assert "not known yet" in service.blocked_reason()
 
-    async def scenario():
-        with anyio.fail_after(5):
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(service.recovery.run)
-                await released.wait()
-                tasks.cancel_scope.cancel()
-
     with peer_answers(service, own, journal_of(tmp_path / "a", 2)):
-        anyio.run(scenario)
+        run_until(service.recovery.run, released)
     engine.release.assert_called_once_with({"id2"})
     assert service.blocked_reason() == ""
 
