Keep a voter's log in use when its compaction fails, and what it acknowledged when a kill interrupts one

Cause: 1. an `open` or `rename` that failed in a compaction ended the process, and a failed write to the new file silenced the voter, though the old file was whole. 2. A kill between the dump and the compaction of the log: the library removes the whole log if it does not begin with the last two entries of the dump, and with it entries that this voter had acknowledged to a leader. Change: 1. the old file goes on uncompacted (`quorum_log_not_compacted`); only a folder whose sync fails counts as a failed write, as the rename may not last. 2. at a start, the entries before the dump are removed, so that the library finds what it expects.

--- a/pinspread/leases/raft.py
+++ b/pinspread/leases/raft.py
@@ -204,11 +204,10 @@
 
     def _open_log(self, sync: bool) -> RaftLog:
         """Open the log; if it or the dump is damaged, rename all files and start this voter as a learner."""
-        dump = self.folder / _DUMP_FILE
+        dump_path = self.folder / _DUMP_FILE
         try:
-            if dump.exists():
-                lease_table.decode_dump(dump.read_bytes())
-            return RaftLog(self.folder / _LOG_FILE, sync)
+            dump = lease_table.decode_dump(dump_path.read_bytes()) if dump_path.exists() else None
+            raft_log = RaftLog(self.folder / _LOG_FILE, sync)
         except (DatagramError, RaftLogFormatError) as error:
             # If the files stayed in use, the entries after a lost dump would be applied to the wrong records.
             # A log with a flipped bit may hold a vote that was never given, or lack one that was.
@@ -217,6 +216,9 @@
                 path.rename(path.with_name(_DAMAGED_PREFIX + path.name))
             self.learner.is_learner = True
             return RaftLog(self.folder / _LOG_FILE, sync)
+        if dump is not None:
+            raft_log.discard_before(dump.entry_before)
+        return raft_log
 
     # --- running --------------------------------------------------------------------------------------
 
--- a/pinspread/leases/raft_log.py
+++ b/pinspread/leases/raft_log.py
@@ -16,12 +16,14 @@
 import os
 import struct
 import zlib
+from contextlib import suppress
 from enum import IntEnum
 from pathlib import Path
 from typing import Any
 
 from pysyncobj.journal import Journal
 
+from pinspread.core.log import log
 from pinspread.errors import PinspreadError
 
 _LENGTH_AND_CHECKSUM = struct.Struct("<II")
@@ -128,34 +130,56 @@
             raise RaftLogFormatError(f"{self.path}: malformed record at byte {start}: {error}") from None
 
     def _append(self, payload: bytes) -> None:
-        self._write(self.fd, _record(payload))
+        self._write(_record(payload))
 
-    def _write(self, fd: int, data: bytes) -> None:
+    def _write(self, data: bytes) -> None:
         # After a failed write, memory may hold a vote or an entry that the file lacks. If the log stayed in
         # use, the voter would report that vote or entry to others and lose it on a restart. So all later
         # writes are refused.
         if self.write_failed:
             raise OSError(f"{self.path}: not written, because an earlier write failed")
         self.write_failed = True
-        while data:
-            data = data[os.write(fd, data) :]
-        if self.sync:
-            os.fdatasync(fd)
+        _write_all(self.fd, data, self.sync)
         self.write_failed = False
 
-    def _rewrite(self) -> None:
-        """Write the complete state to a new file, which then replaces the old one atomically."""
-        fd = os.open(self._new_path, os.O_CREAT | os.O_TRUNC | os.O_WRONLY | os.O_APPEND, _FILE_MODE)
+    def _rewrite(self, entries: list[Entry]) -> None:
+        """Write the complete state, with these entries, to a new file that replaces the old one atomically.
+
+        Raises:
+            OSError: The new file cannot be written, and the old one stays in use; or it is in use but may not
+                last (`write_failed`).
+        """
         state = _record(_vote_payload(self.term, self.voted_for))
         state += _record(_NUMBER.pack(RecordKind.COMMIT_INDEX, self.commit_index))
-        self._write(fd, state + b"".join(_record(_entry_payload(*entry)) for entry in self.entries))
-        os.rename(self._new_path, self.path)
-        if self.sync:
-            folder = os.open(self.path.parent, os.O_RDONLY)
-            os.fsync(folder)
-            os.close(folder)
-        os.close(self.fd)
+        fd = self._replace_file(state + b"".join(_record(_entry_payload(*entry)) for entry in entries))
+        with suppress(OSError):
+            os.close(self.fd)
         self.fd = fd
+        if self.sync:
+            self.write_failed = True
+            _sync_folder(self.path.parent)
+            self.write_failed = False
+
+    def _replace_file(self, data: bytes) -> int:
+        """Replace the file and return the descriptor of the new one; on an error the old one stays."""
+        fd = os.open(self._new_path, os.O_CREAT | os.O_TRUNC | os.O_WRONLY | os.O_APPEND, _FILE_MODE)
+        try:
+            _write_all(fd, data, self.sync)
+            os.rename(self._new_path, self.path)
+        except OSError:
+            with suppress(OSError):
+                os.close(fd)
+            raise
+        return fd
+
+    def discard_before(self, entry: Entry) -> None:
+        """Remove the entries before this one, if the log has it: what an interrupted compaction has left.
+
+        The library removes the whole log if it does not begin with the last two entries of the dump, with
+        entries behind them that this voter has acknowledged.
+        """
+        if entry in self.entries:
+            self.deleteEntriesTo(self.entries.index(entry))
 
     # --- the library's interface, under its names -----------------------------------------------------
 
@@ -178,8 +202,16 @@
         """Remove the entries before a position."""
         # This writes a new file. If the old one were changed in place, a kill halfway would lose acknowledged
         # entries.
-        self.entries = self.entries[entryTo:]
-        self._rewrite()
+        kept = self.entries[entryTo:]
+        try:
+            self._rewrite(kept)
+        except OSError as error:
+            if self.write_failed:
+                raise
+            # Nothing is lost: the next compaction tries again. Positions in later records refer to the file.
+            log("quorum_log_not_compacted", error=str(error))
+        else:
+            self.entries = kept
 
     def __getitem__(self, item: Any) -> Any:
         """Return an entry, or a slice of them."""
@@ -227,6 +259,22 @@
             self.fd = -1
 
 
+def _write_all(fd: int, data: bytes, sync: bool) -> None:
+    while data:
+        data = data[os.write(fd, data) :]
+    if sync:
+        os.fdatasync(fd)
+
+
+def _sync_folder(folder: Path) -> None:
+    fd = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        with suppress(OSError):  # of a close, which is no write
+            os.close(fd)
+
+
 def _record(payload: bytes) -> bytes:
     head = _LENGTH_AND_CHECKSUM.pack(len(payload), zlib.crc32(payload))
     return head + _HEAD_CHECKSUM.pack(zlib.crc32(head)) + payload
--- a/tests/test_raft_log.py
+++ b/tests/test_raft_log.py
@@ -1,14 +1,16 @@
 """A voter's log over restarts, incomplete writes and damage, and its use by the Raft library."""
 
 import os
+from unittest import mock
 
 import anyio
 import pytest
+from failing_os import FailingOs
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from pysyncobj.journal import MemoryJournal
 
-from pinspread.leases import learner, raft, raft_log, raft_transport
+from pinspread.leases import learner, lease_table, raft, raft_log, raft_transport
 from pinspread.leases.state_machine import Command, CommandKind
 
 OPERATIONS = st.lists(
@@ -91,6 +93,36 @@
     assert log.write_failed
 
 
+@pytest.mark.parametrize("call", ["open", "write", "fdatasync", "rename", "close"])
+def test_a_compaction_that_fails_leaves_the_log_whole_and_in_use(tmp_path, monkeypatch, call):
+    """Guards against an error of the disk in a compaction that ended the process."""
+    path = tmp_path / "log"
+    log = raft_log.RaftLog(path, sync=True)
+    for index in range(6):
+        log.add(b"c%d" % index, index, 1)
+    failing_os = FailingOs((call,))
+    monkeypatch.setattr(raft_log, "os", failing_os)
+    failing_os.failing = True
+    log.deleteEntriesTo(2)
+    failing_os.failing = False
+    log.deleteEntriesFrom(len(log) - 1)
+    log.add(b"last", 5, 2)
+    assert not log.write_failed and log[-2:] == [(b"c4", 4, 1), (b"last", 5, 2)]
+    log.deleteEntriesTo(1)
+    kept = state(log)
+    log._destroy()
+    assert state(raft_log.RaftLog(path)) == kept
+
+
+def test_a_rename_that_may_not_last_counts_as_a_failed_write(tmp_path, monkeypatch):
+    log = raft_log.RaftLog(tmp_path / "log", sync=True)
+    log.add(b"x", 1, 1)
+    monkeypatch.setattr(raft_log.os, "fsync", mock.Mock(side_effect=OSError("injected")))
+    with pytest.raises(OSError, match="injected"):
+        log.deleteEntriesTo(1)
+    assert log.write_failed
+
+
 async def wait_until_leader(node):
     with anyio.fail_after(5):
         while not node.is_leader():
@@ -153,6 +185,35 @@
     anyio.run(voter_runner(tmp_path, []), check_damage_handling)
 
 
+def test_a_log_that_a_kill_left_uncompacted_keeps_the_entries_behind_the_dump(tmp_path, monkeypatch):
+    """Guards against acknowledged entries that are removed if the log does not begin where the dump ends."""
+    monkeypatch.setattr(learner, "FIRST_VOTE_DELAY_S", 0)
+
+    async def grant_two(node):
+        await wait_until_leader(node)
+        for task in ("t", "u"):
+            applied = anyio.Event()
+            command = Command(CommandKind.GRANT, "m", 0, 7)
+            node.propose(task, command, lambda record, outcome, applied=applied: applied.set())
+            with anyio.fail_after(5):
+                await applied.wait()
+
+    anyio.run(voter_runner(tmp_path, []), grant_two)
+    log = raft_log.RaftLog(tmp_path / "log")
+    entries = log[:]
+    log._destroy()
+    dump = lease_table.LeaseDump({}, entries[-2], entries[-3])
+    (tmp_path / raft._DUMP_FILE).write_bytes(lease_table.encode_dump(dump))
+
+    async def wait_for_second(node):
+        with anyio.fail_after(5):
+            while "u" not in node.records:
+                await anyio.sleep(0.01)
+        assert node.raft_log[:3] == entries[-3:]
+
+    anyio.run(voter_runner(tmp_path, []), wait_for_second)
+
+
 def test_a_voter_whose_log_cannot_be_written_stays_silent_and_the_courier_goes_on(tmp_path, monkeypatch):
     monkeypatch.setattr(learner, "FIRST_VOTE_DELAY_S", 0)
 
