Let a turn's work grow with one destination's messages, not with all: slow turns made final results late

Cause: each turn looked at every message held, for the most urgent one of each destination and for the next wake-up: 1.6 ms for two turns with 940 held. Change: a destination's queue keeps its earliest deadline; the next wake-up looks only at messages that wait for something else as well. Urgency is asked only where destinations have equally few calls, from the newest message on, and ends at one that is not late.

--- a/pinspread/policy/dispatch.py
+++ b/pinspread/policy/dispatch.py
@@ -39,16 +39,16 @@
             message.overdue_from_ns = now_ns + int(RECOVERED_WAIT * (message.deadline_ns - now_ns))
         self.messages[message.request] = message
         heappush(self.expiry, (message.deadline_ns, message.request))
-        self._enqueue(message)
         if message.key:
             self.keys.setdefault(message.key, deque()).append(message)
         if event.may_have_run_ns:  # in an attempt before a restart: a repeat could run it twice
             self._mark_may_have_run(message, event.may_have_run_ns, event.may_have_run_zone)
+        self._enqueue(message)
         if event.attempts and not self.may_repeat(message, now_ns):
             self.reject_or_fail(message)
 
     def _enqueue(self, message: QueuedMessage) -> None:
-        message.destination.queue[message.request] = message
+        message.destination.queue.add(message)
         self.waiting[message.destination.number] = message.destination
 
     def end(self, message: QueuedMessage) -> None:
@@ -58,7 +58,7 @@
         attempt of this one is in flight.
         """
         self.messages.pop(message.request, None)
-        message.destination.queue.pop(message.request, None)
+        message.destination.queue.remove(message.request)
         if message.key and not message.in_flight:
             same_key = self.keys[message.key]
             same_key.remove(message)
@@ -166,26 +166,58 @@
         capacity -= max(1, int(capacity * RESERVED_QUEUE_SHARE))
         while len(self.messages) > capacity:
             longest = max(self.waiting.values(), key=lambda d: len(d.queue), default=None)
-            queued = longest.queue.values() if longest else ()
+            queued = longest.queue.messages.values() if longest else ()
             safe = [m for m in queued if not m.may_have_run_ns and (m.attempts or m.overdue_from_ns == NEVER)]
             if not safe:
                 break
             self.reject_or_fail(min(safe, key=lambda m: (self._priority(m, now_ns), m.accepted_ns)))
 
     def _fill_slots(self) -> None:
-        now_ns, slots = self.context.now_ns, self.context.settings.max_concurrent_calls
-        available_from_ns, overdue = self.outliers.destination_available_from_ns, self._is_overdue
+        slots = self.context.settings.max_concurrent_calls
         waiting = self.waiting.values() if self.calls_in_flight < slots else ()
-        ready = [d for d in waiting if available_from_ns(d, any(map(overdue, d.queue.values()))) <= now_ns]
-        best_urgency = {d.number: min(map(self._dispatch_order, d.queue.values()))[0] for d in ready}
+        ready = [destination for destination in waiting if self._is_ready(destination)]
+        urgencies: dict[int, float] = {}
+        if slots - self.calls_in_flight > 1:  # before calls change the queues; for one call, as far as needed
+            urgencies = {destination.number: self._urgency(destination) for destination in ready}
         while ready and self.calls_in_flight < slots:
-            # Fewest calls in flight first, then the highest priority, then the longest since its last call.
-            destination = min(ready, key=lambda d: (d.calls_in_flight, best_urgency[d.number], d.last_call))
+            destination = self._next_destination(ready, urgencies)
             if destination.calls_in_flight >= max(1, slots - self.calls_in_flight):
                 break  # a hung destination or a burst may hold at most as many slots as it leaves free
             if not self._call_one_endpoint(destination):
                 ready.remove(destination)
 
+    def _is_ready(self, destination: Destination) -> bool:
+        """Whether one of a destination's endpoints may be called now."""
+        overdue = any(map(self._is_overdue, destination.queue.conditional.values()))
+        return self.outliers.destination_available_from_ns(destination, overdue) <= self.context.now_ns
+
+    def _urgency(self, destination: Destination) -> float:
+        """The first part of the dispatch order of a destination's most urgent message; the least goes first.
+
+        The latest messages are looked at first: one that is not late yet is as urgent as any.
+        """
+        now_ns, most = self.context.now_ns, max(c.priority_weight for c in self.context.settings.classes)
+        highest = 0.0
+        for message in reversed(destination.queue.messages.values()):
+            highest = max(highest, self._priority(message, now_ns))
+            if highest >= most:
+                break
+        return -highest
+
+    def _next_destination(self, ready: list[Destination], urgencies: dict[int, float]) -> Destination:
+        """Fewest calls in flight first, then the most urgent, then the longest since its last call.
+
+        Urgencies by destination that are not known yet are added where they decide.
+        """
+        fewest = min(destination.calls_in_flight for destination in ready)
+        candidates = [destination for destination in ready if destination.calls_in_flight == fewest]
+        if len(candidates) == 1:
+            return candidates[0]
+        for destination in candidates:
+            if destination.number not in urgencies:
+                urgencies[destination.number] = self._urgency(destination)
+        return min(candidates, key=lambda destination: (urgencies[destination.number], destination.last_call))
+
     def _is_overdue(self, message: QueuedMessage) -> bool:
         return message.overdue_from_ns <= self.context.now_ns and not message.attempts
 
@@ -193,7 +225,13 @@
         now_ns, endpoints = self.context.now_ns, destination.endpoints.values()
         available_from_ns = self.outliers.destination_available_from_ns(destination)
         self._wake_by(available_from_ns)  # a suspect endpoint needs no timer: its next outcome brings a turn
-        for message in list(destination.queue.values()):
+        earliest_deadline_ns = destination.queue.earliest_deadline_ns()
+        if earliest_deadline_ns <= available_from_ns < NEVER:
+            affected = destination.queue.messages
+        else:
+            affected = destination.queue.conditional
+            self.wake_ns = min(self.wake_ns, earliest_deadline_ns)
+        for message in list(affected.values()):
             at_ns = available_from_ns
             if message.overdue_from_ns < NEVER and not message.attempts:
                 # After a whole fleet was killed, the rates would not let all recovered messages out in time.
@@ -221,7 +259,7 @@
         return False
 
     def _sendable(self, destination: Destination, endpoint: TrackedEndpoint) -> list[QueuedMessage]:
-        ready = [m for m in destination.queue.values() if self.may_send(m, endpoint)]
+        ready = [m for m in destination.queue.messages.values() if self.may_send(m, endpoint)]
         ready.sort(key=self._dispatch_order)
         if ready and endpoint.failure_rate > SUSPECT_FROM:
             ready = self._probing_messages(endpoint, ready)
@@ -262,7 +300,7 @@
             budget.retries_in_flight += retry
             self.attempts[message.request, message.attempts] = PendingAttempt(message, call, retry)
             message.attempts, message.in_flight = message.attempts + 1, True
-            del destination.queue[message.request]
+            destination.queue.remove(message.request)
             timeout_ns = self.outliers.timeout_ns(message, endpoint, self.calls_in_flight)
             self.context.actions.append(Send(message.request, endpoint.id, timeout_ns))
 
--- a/pinspread/policy/state.py
+++ b/pinspread/policy/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -95,6 +96,53 @@
         return self.may_have_run_ns + self.traffic_class.deduplication_window_ns
 
 
+class MessageQueue:
+    """The messages that wait for a call to one destination.
+
+    Most of them wait for nothing but a call, until their deadline: the first is found without a look at each.
+
+    Attributes:
+        messages: The messages by request, in order of arrival.
+        conditional: Those of them that wait for something else as well: messages with an ordering key, those
+            with an attempt, and those that a restart has recovered.
+    """
+
+    __slots__ = ("_deadlines", "conditional", "messages")
+
+    def __init__(self) -> None:
+        self.messages: dict[int, QueuedMessage] = {}
+        self.conditional: dict[int, QueuedMessage] = {}
+        self._deadlines: list[tuple[int, int]] = []  # heap of (deadline, request), of removed messages too
+
+    def __len__(self) -> int:
+        """Return how many messages wait."""
+        return len(self.messages)
+
+    def add(self, message: QueuedMessage) -> None:
+        """Append a message."""
+        self.messages[message.request] = message
+        recovered = message.overdue_from_ns < NEVER
+        if message.key or message.attempts or message.may_have_run_ns or recovered:
+            self.conditional[message.request] = message
+        else:
+            heappush(self._deadlines, (message.deadline_ns, message.request))
+
+    def remove(self, request: int) -> None:
+        """Remove a message, if it is there."""
+        self.messages.pop(request, None)
+        self.conditional.pop(request, None)
+
+    def earliest_deadline_ns(self) -> int:
+        """Return the earliest deadline of the messages that are not conditional; `NEVER` for none."""
+        while self._deadlines:
+            deadline_ns, request = self._deadlines[0]
+            message = self.messages.get(request)
+            if message and message.deadline_ns == deadline_ns and request not in self.conditional:
+                return deadline_ns
+            heappop(self._deadlines)
+        return NEVER
+
+
 class Call:
     """One call in flight: it holds one slot, carries one message or a bundle, and has one outcome."""
 
@@ -238,6 +286,6 @@
     retry_budget: RetryBudget
     endpoints: dict[EndpointId, TrackedEndpoint] = field(default_factory=dict)
     limiter: RateLimiter = field(default_factory=RateLimiter)
-    queue: dict[int, QueuedMessage] = field(default_factory=dict)  # by request, in order of arrival
+    queue: MessageQueue = field(default_factory=MessageQueue)
     calls_in_flight: int = 0
     last_call: int = 0  # the sender's count of calls made, at the last call to it
--- a/tests/test_policy_dispatch.py
+++ b/tests/test_policy_dispatch.py
@@ -1,14 +1,16 @@
 """The delivery policy's queues: slots for concurrent calls, priorities, bundles and ordering keys."""
 
+import random
 from dataclasses import replace
 
 import pytest
-from policy_helpers import CONNECT_FAILED, ORDERED, TIMEOUT, UNSAFE, PolicyDriver, settings
+from policy_helpers import CONNECT_FAILED, ORDERED, SAFE, TIMEOUT, UNSAFE, PolicyDriver, settings
 
 from pinspread.policy.actions import Reject
-from pinspread.policy.events import ClientCancelled
+from pinspread.policy.dispatch import Dispatcher
+from pinspread.policy.events import ClientCancelled, MessageAccepted
 from pinspread.policy.outlier_detection import OutlierDetector
-from pinspread.policy.state import MS
+from pinspread.policy.state import MS, NEVER, MessageQueue, QueuedMessage
 
 pytestmark = pytest.mark.usefixtures("policy_shape")
 
@@ -97,3 +99,49 @@
         driver.complete(driver.sent(driver.accept())[0], after=MS)
         counts.append(len(visited))
     assert counts[0] == counts[1] > 0
+
+
+def test_the_work_of_a_turn_does_not_grow_with_all_messages_that_are_held(monkeypatch):
+    """Guards against turns so slow, with very many messages held, that final results come too late."""
+    destinations, held_each = 6, 150
+    driver = PolicyDriver(
+        endpoints=[(f"e{number}", number) for number in range(1, destinations + 1)],
+        max_concurrent_calls=destinations,
+        max_held_messages=2 * destinations * held_each,
+    )
+    for destination in range(1, destinations + 1):
+        driver.accept(held_each, destination=destination)
+    looks = 0
+
+    def counted(function):
+        def count_and_call(*arguments):
+            nonlocal looks
+            looks += 1
+            return function(*arguments)
+
+        return count_and_call
+
+    for name in ("_priority", "may_repeat"):
+        monkeypatch.setattr(Dispatcher, name, counted(getattr(Dispatcher, name)))
+    in_flight = [request for request, _ in driver.sender.dispatcher.attempts]
+    assert in_flight
+    driver.complete(in_flight[0])
+    assert looks <= 3 * held_each  # those of one destination, and not those of all six
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_queue_knows_the_earliest_deadline_of_what_waits_for_nothing_else(seed):
+    draw, queue, waiting, driver = random.Random(seed), MessageQueue(), {}, PolicyDriver()
+    for _ in range(200):
+        request = draw.randint(0, 15)
+        if request in waiting:
+            queue.remove(request)
+            del waiting[request]
+            continue
+        attempts = draw.randint(0, 1)
+        event = MessageAccepted(request, SAFE, 1, driver.now + draw.randint(1, 50), attempts=attempts)
+        message = QueuedMessage(event, driver.sender.context.settings, driver.first_destination, driver.now)
+        queue.add(message)
+        waiting[request] = NEVER if attempts else message.deadline_ns
+        assert queue.earliest_deadline_ns() == min(waiting.values())
+        assert list(queue.messages) == list(waiting) and len(queue) == len(waiting)
