--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -13,14 +13,9 @@
     HEADER_BYTES,
     PROGRESS_BYTES,
     Accepted,
-    AttemptEnded,
-    AttemptStarted,
-    AttemptZone,
     EndpointBlocked,
-    FinalResultDecided,
     FinishedId,
     MessageEnded,
-    Progress,
     ProgressRecord,
     Record,
     RulesNumbered,
@@ -37,8 +32,10 @@
     encode_zone,
     payloads,
 )
+from pinspread.core.journal_replay import apply_progress, end_attempt
 from pinspread.core.messages import DeliveryRules, FinalResult, FinalState, Message
 from pinspread.core.ports import JournalObserver
+from pinspread.core.rules_numbers import RulesNumbers
 from pinspread.errors import JournalFormatError, JournalFullError
 
 NO_FILE = -1  # value of a descriptor while no file is open
@@ -85,9 +82,7 @@
         self._reserved_bytes: dict[int, int] = {}  # of each pending message, including its progress
         self._open_bytes = 0
         self._finished_bytes = 0
-        self._rules_numbers: dict[DeliveryRules, int] = {}  # of the rules that records refer to
-        self._latest_rules: DeliveryRules | None = None
-        self._rules_read: dict[int, DeliveryRules] = {}  # by number, filled while the file is read
+        self._rules = RulesNumbers()
 
     def resize(self, limit_bytes: int) -> None:
         """Change the limit; a file that exceeds the new limit is rewritten with its next record.
@@ -185,7 +180,7 @@
         try:
             self._append(encode_attempt_ended(message, attempt, may_have_run))
         finally:  # it has happened; a rewrite before the record must not hold it already
-            _end_attempt(message, may_have_run)
+            end_attempt(message, may_have_run)
 
     def final_result(self, message: Message, result: FinalResult) -> None:
         """Record a final result, which the client has not been notified of yet."""
@@ -253,15 +248,12 @@
 
     def _written_rules_number(self, rules: DeliveryRules) -> int:
         """Return the number of these rules, and write their record first if the file does not have it."""
-        self._latest_rules = rules
-        if rules not in self._rules_numbers:
-            number = self._next_rules_number()
+        self._rules.latest = rules
+        if rules not in self._rules.numbers:
+            number = self._rules.next_number()
             self._append(encode_rules(number, rules))
-            self._rules_numbers[rules] = number
-        return self._rules_numbers[rules]
-
-    def _next_rules_number(self) -> int:
-        return max(self._rules_numbers.values(), default=0) + 1
+            self._rules.numbers[rules] = number
+        return self._rules.numbers[rules]
 
     # --- the file ---------------------------------------------------------------------------------
 
@@ -299,13 +291,13 @@
                 raise JournalFullError(f"ftruncate of {self.path}: {error}") from None
 
     def _rewrite(self) -> None:
-        numbers_in_file = dict(self._rules_numbers)
-        self._renumber_rules()
+        numbers_in_file = self._rules.numbers
+        self._rules.keep({message.rules for message in self.open_messages.values()})
         data = b"".join(self._snapshot())
         try:
             fd = self._replace_file(data)
         except JournalFullError:
-            self._rules_numbers = numbers_in_file
+            self._rules.numbers = numbers_in_file
             raise
         self._close_descriptor()
         self._fd = fd
@@ -331,27 +323,13 @@
             raise JournalFullError(f"rename to {self.path}: {error}") from None
         return fd
 
-    def _renumber_rules(self) -> None:
-        """Keep the numbers of the rules that the new file needs, and drop all others."""
-        # Settings change all day, and rules that are no longer used would fill the file. The latest rules are
-        # kept, because the record that is about to refer to them may be the one that triggered this rewrite.
-        used = {message.rules for message in self.open_messages.values()} | {self._latest_rules}
-        self._rules_numbers = {
-            rules: number for rules, number in self._rules_numbers.items() if rules in used
-        }
-        # Messages that an older version accepted have got their rules from the settings. If their rules were
-        # numbered only while the new file is written, it would refer to a number that it does not define.
-        for rules in used - self._rules_numbers.keys():
-            if rules is not None:
-                self._rules_numbers[rules] = self._next_rules_number()
-
     def _snapshot(self) -> Iterator[bytes]:
         """Yield the records of a file that holds only the current state."""
         for message_id in self.finished_ids:
             yield encode_finished_id(message_id)
         for endpoint_id in self.blocked_endpoints:
             yield encode_endpoint_blocked(endpoint_id, True)
-        for rules, number in self._rules_numbers.items():
+        for rules, number in self._rules.numbers.items():
             yield encode_rules(number, rules)
         for message in self.open_messages.values():
             yield self._accepted_record(message)
@@ -386,45 +364,23 @@
     def _replay(self, record: Record, record_bytes: int) -> None:
         match record:
             case Accepted(message, rules_number):
-                message.rules = self._rules_read.get(rules_number)
+                message.rules = self._rules.find(rules_number)
                 self._add_open_message(message, record_bytes + PROGRESS_BYTES)
             case FinishedId(message_id):
                 self._add_finished_id(message_id)
             case EndpointBlocked(endpoint_id, blocked):
                 self._set_blocked(endpoint_id, blocked)
             case RulesNumbered(rules_number, rules):
-                self._rules_read[rules_number] = rules
-                self._rules_numbers[rules] = rules_number
+                self._rules.define(rules_number, rules)
             case _:
                 known = self.open_messages.get(record.number)
                 if known is not None:
                     self._replay_progress(known, record)
 
     def _replay_progress(self, message: Message, record: ProgressRecord) -> None:
-        match record:
-            case AttemptStarted(_, attempt, unix_us):
-                # An attempt that was in flight when the process was killed has no record of its end. Without
-                # this, the next attempt's record would hide that the earlier one may have run.
-                message.may_have_run_unix_us = message.may_have_run_unix_us or message.in_flight_since_unix_us
-                message.attempts = max(message.attempts, attempt + 1)
-                message.in_flight_since_unix_us = unix_us
-            case AttemptEnded(_, _, may_have_run):
-                _end_attempt(message, may_have_run)
-            case FinalResultDecided(_, result):
-                message.final = result
-            case Progress(_, attempts, may_have_run_unix_us, in_flight_since_unix_us):
-                message.attempts = attempts
-                message.may_have_run_unix_us = may_have_run_unix_us
-                message.in_flight_since_unix_us = in_flight_since_unix_us
-            case AttemptZone(_, zone):
-                message.zone = zone
-            case MessageEnded():
-                del self.open_messages[message.number]
-                self._free_reservation(message)
-                self._keep_id_unless_returned(message)
-
-
-def _end_attempt(message: Message, may_have_run: bool) -> None:
-    if may_have_run and not message.may_have_run_unix_us:
-        message.may_have_run_unix_us = message.in_flight_since_unix_us
-    message.in_flight_since_unix_us = 0
+        if isinstance(record, MessageEnded):
+            del self.open_messages[message.number]
+            self._free_reservation(message)
+            self._keep_id_unless_returned(message)
+        else:
+            apply_progress(message, record)
