Order endpoints by latency times the calls in flight there, not by the calls alone

Cause: since each call has a connection of its own, a call to the farther hall of the second deployment takes some three times as long as one to the near hall (110 ms apart, a new connection costs its request several round trips). Endpoints were ordered by their calls in flight alone, so the long calls held the slots. Change: mean latency times the calls in flight, this one included (peak EWMA); times their square while under half the slots are taken, where few calls at one endpoint matter more. A latency without new outcomes halves every 5 s down to that of the fastest, so that an endpoint that was slow is tried again, and one that is not measured counts as the fastest. Nothing asks which deployment it is.

--- a/pinspread/policy/dispatch.py
+++ b/pinspread/policy/dispatch.py
@@ -252,7 +252,8 @@
     def _call_one_endpoint(self, destination: Destination) -> bool:
         now_ns, available_from_ns = self.context.now_ns, self.outliers.available_from_ns
         endpoints = [e for e in destination.endpoints.values() if available_from_ns(e, True) <= now_ns]
-        for endpoint in sorted(endpoints, key=self.outliers.balancer.preference):
+        slots_scarce = self.outliers.slots_scarce(self.calls_in_flight)
+        for endpoint in self.outliers.balancer.in_order(endpoints, slots_scarce):
             if messages := self._sendable(destination, endpoint):
                 self._call(endpoint, messages)
                 return True
