--- a/pinspread/policy/dispatch.py
+++ b/pinspread/policy/dispatch.py
@@ -252,8 +252,7 @@
     def _call_one_endpoint(self, destination: Destination) -> bool:
         now_ns, available_from_ns = self.context.now_ns, self.outliers.available_from_ns
         endpoints = [e for e in destination.endpoints.values() if available_from_ns(e, True) <= now_ns]
-        slots_scarce = self.outliers.slots_scarce(self.calls_in_flight)
-        for endpoint in self.outliers.balancer.in_order(endpoints, slots_scarce):
+        for endpoint in sorted(endpoints, key=self.outliers.balancer.preference):
             if messages := self._sendable(destination, endpoint):
                 self._call(endpoint, messages)
                 return True
--- a/pinspread/policy/outlier_detection.py
+++ b/pinspread/policy/outlier_detection.py
@@ -210,13 +210,9 @@
     def _expected_answer_ns(self, endpoint: TrackedEndpoint) -> float:
         return max(SILENCE_NS, endpoint.latency_mean_ns + TIMEOUT_DEVIATIONS * endpoint.latency_deviation_ns)
 
-    def slots_scarce(self, calls_in_flight: int) -> bool:
-        """Whether half the slots are taken."""
-        return 2 * calls_in_flight >= self.context.settings.max_concurrent_calls
-
     def timeout_ns(self, message: QueuedMessage, endpoint: TrackedEndpoint, calls_in_flight: int) -> int:
         """How long an attempt may wait for its answer."""
-        slots_scarce = self.slots_scarce(calls_in_flight)
+        slots_scarce = 2 * calls_in_flight >= self.context.settings.max_concurrent_calls
         unsafe, mean_ns = message.traffic_class.effect is Idempotency.NOT_IDEMPOTENT, endpoint.latency_mean_ns
         factor = (UNSAFE_CROWDED_FACTOR if slots_scarce else UNSAFE_FACTOR) if unsafe else 1.0
         slow_ns = mean_ns + TIMEOUT_DEVIATIONS * endpoint.latency_deviation_ns
