Review: a hung broker gets a second copy of a message on the same connection

Seen: the broker confirms nothing for 12 s. Booking changes and status updates whose publish has timed out are published again while the first publish is out on the open connection.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
+cd "$(dirname "$0")" || exit 2
+PYTHONPATH=.. exec ../../.venv/bin/python case.py
