--- a/review/standins2/application.py
+++ b/review/standins2/application.py
@@ -1,9 +1,13 @@
 """Writes an application's file and its DNS-SD records, as the examples of the project have them."""
 
 import os
+import random
 import socket
+from contextlib import suppress
 from pathlib import Path
 
+PORTS = (20_000, 32_000)  # below those of outgoing connections
+
 CLASSES = """
 [[class]]
 name = "booking-change"
@@ -36,10 +40,12 @@
 
 
 def free_port() -> int:
-    """Return a port that is free on 127.0.0.1."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port that is free on 127.0.0.1, and that no outgoing connection is given meanwhile."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
 
 
 def write_file(folder: Path, resp_port: int, notices_port: int, classes: str = CLASSES) -> Path:
--- a/review/standins2/case.py
+++ b/review/standins2/case.py
@@ -39,9 +39,11 @@
         self._couriers: list[Courier] = []
         self._start = 0.0
 
-    def courier(self, environment: dict[str, str], arguments: str = "") -> Courier:
-        """Return a courier that is killed at the end of the case."""
-        courier = Courier(self.folder, environment, arguments)
+    def courier(
+        self, environment: dict[str, str], arguments: str = "", folder: Path | None = None
+    ) -> Courier:
+        """Return a courier that is killed at the end of the case; its folder is the case's by default."""
+        courier = Courier(folder or self.folder, environment, arguments)
         self._couriers.append(courier)
         return courier
 
@@ -86,9 +88,8 @@
         return code
 
     def _show_log(self) -> None:
-        path = self.folder / "courier.log"
-        if path.exists():
-            self.log("the end of the courier's log: " + path.read_text()[-2000:])
+        for path in sorted(self.folder.rglob("courier.log")):
+            self.log(f"the end of {path.relative_to(self.folder)}: {path.read_text()[-1000:]}")
 
 
 def main(script: str, body: Callable[[Case], Awaitable[None]]) -> None:
--- a/review/standins2/clients.py
+++ b/review/standins2/clients.py
@@ -26,13 +26,13 @@
     deadline_ms: int
     key: str = "0"
     body: bytes = b"hello"
+    tenant: str = "north-circuit"  # empty where a deployment has no tenants
     id: str = field(default_factory=new_id)
 
     def request(self) -> bytes:
         """Encode the request."""
-        options = (
-            f"c={self.class_name},t=north-circuit,d={self.deadline_ms},k={self.id},dest={self.destination}"
-        )
+        tenant = f"t={self.tenant}," if self.tenant else ""
+        options = f"c={self.class_name},{tenant}d={self.deadline_ms},k={self.id},dest={self.destination}"
         key = self.key.zfill(16).encode()
         return command(b"ENQUEUE", key, self.id.encode(), options.encode(), self.body)
 
--- a/review/standins2/http.py
+++ b/review/standins2/http.py
@@ -99,7 +99,8 @@
     Attributes:
         seq: The version of the list.
         hosts: The present entries by id, without those that are gone.
-        silent: Whether discovery is down; notices are answered all the same.
+        silent: Whether discovery is down behind an agent, which is silent then; notices are answered.
+        down: Whether discovery is down and asked itself: its calls get 503; notices are answered.
         notices: The notices that were posted, by message id.
         watches: How many watches were answered.
         line_s: How long each line of a watch takes, in `LINE_PIECES` pieces; 0: it is written at once.
@@ -109,11 +110,12 @@
         self.seq = 1
         self.hosts = {host["host"]: host for host in hosts}
         self.silent = False
+        self.down = False
         self.notices: dict[str, str] = {}
         self.watches = 0
         self.line_s = 0.0
         self._on_notice = on_notice
-        self._queues: set[asyncio.Queue[bytes]] = set()
+        self._queues: dict[asyncio.Queue[bytes], asyncio.StreamWriter] = {}
         self._server: asyncio.Server | None = None
 
     async def start(self, port: int = 0) -> int:
@@ -137,6 +139,13 @@
         for queue in self._queues:
             queue.put_nowait(line)
 
+    def go_down(self) -> None:
+        """End all watches, and answer further calls with 503."""
+        self.down = True
+        for writer in self._queues.values():
+            writer.transport.abort()
+        self._queues.clear()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await serve_requests(reader, writer, self._answer)
 
@@ -150,6 +159,9 @@
             return True
         if self.silent:
             await asyncio.sleep(3600)
+        if self.down:
+            writer.write(response(503, "Service Unavailable"))
+            return True
         if "watch=1" in request.target:
             await self._watch(writer)
             return False
@@ -166,7 +178,7 @@
     async def _watch(self, writer: asyncio.StreamWriter) -> None:
         self.watches += 1
         queue: asyncio.Queue[bytes] = asyncio.Queue()
-        self._queues.add(queue)
+        self._queues[queue] = writer
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         line = json.dumps(self.whole()).encode() + b"\n"
         try:
@@ -180,4 +192,4 @@
         except OSError:
             pass  # the courier has ended the watch
         finally:
-            self._queues.discard(queue)
+            self._queues.pop(queue, None)
