Review: 48 couriers ask for the list too late after an outage of discovery

Seen: discovery is down for 8 s. Of eight couriers of 48, two to five had not asked again 6.6 s after it was back; they sent to drained endpoints, and messages to endpoints of other destinations.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,92 +1,94 @@
-"""A broker hangs, and the courier publishes a message again while its first publish is still out.
+"""After discovery was down, couriers ask for the list again too late, and send to endpoints that have gone.
 
-The broker reads publishes and does not confirm them for a while, as an endpoint that hangs in the middle of
-its work. It confirms everything afterwards.
+Eight couriers of a fleet of 48 ask one discovery service, as on istanbul-main. It is down for 8 s: watches
+end, and calls get 503. Meanwhile one endpoint of each destination begins to drain. It goes 6.6 s after the
+service is back, and its address is taken by a new endpoint of another destination.
 """
 
 import asyncio
+import json
+import secrets
+from typing import Any
 
-from standins2.application import free_port, write_file, write_records
-from standins2.broker import Broker, Publish
+from standins2.application import free_port
 from standins2.case import START_TIMEOUT_S, Case, CouldNotRunError, main
 from standins2.clients import Client, Message
+from standins2.courier import Courier, write_platform_files
 from standins2.http import Platform
+from standins2.istanbul import DESTINATIONS, GRACE_S, TOLD_S, Fleet, istanbul_settings
 
-CLASSES = {"booking-change": 24_000, "status-update": 16_000, "payment": 20_000}  # with their deadlines, ms
-MESSAGE_EVERY_S = 0.3
-HANG_AFTER_S = 5.0
-HANG_S = 12.0  # 9 to 15 s
-REST_S = 6.0
+FLEET = 48  # couriers in all; the others are not played
+COURIERS = 8
+DOWN_AT_S = 5.0
+DOWN_S = 8.0
+DRAIN_AT_S = 6.0
+REPLACED_AT_S = DOWN_AT_S + DOWN_S + TOLD_S + GRACE_S + 0.05
+LENGTH_S = 32.0
+MESSAGE_EVERY_S = 0.2  # at each courier
 
-RECORDS = """host A 127.0.0.1
-_amqp._tcp PTR bank._amqp._tcp
-bank._amqp._tcp SRV 0 0 {port} host
-bank._amqp._tcp TXT "dest=1" "rate=20"
-"""
-
-
-class Publishes:
-    """The publishes that the broker got."""
 
-    def __init__(self, case: Case) -> None:
-        self.case = case
-        self.hangs = False
-        self.all: list[Publish] = []
+async def hand_in(case: Case, fleet: Fleet, port: int) -> None:
+    """Hand in messages at one courier until cancelled."""
+    client, number = Client(port), 0
+    while True:
+        message = Message("trade-notice", number % DESTINATIONS, 24_000, tenant="")
+        fleet.destination_of[message.id] = message.destination
+        answer = await client.enqueue(message)
+        case.log(f"handed in {message.id} for {message.destination} at {port}: {answer or 'no answer'}")
+        number += 1
+        await asyncio.sleep(MESSAGE_EVERY_S)
 
-    def on_publish(self, publish: Publish) -> None:
-        """Look for an earlier publish of the message that is still out, and confirm this one if it may be."""
-        self.case.log(f"publish {publish.message_id}, attempt {publish.attempt}")
-        for earlier in self.all:
-            out = not earlier.confirmed and earlier.connection.open
-            if out and earlier.message_id == publish.message_id:
-                self.case.breach(
-                    f"{self.case.now():.1f} s: attempt {publish.attempt} of {publish.message_id} arrived "
-                    f"while attempt {earlier.attempt} was unconfirmed on an open connection"
-                )
-        self.all.append(publish)
-        if not self.hangs:
-            publish.confirm()
 
-    def resume(self) -> None:
-        """Confirm all that is unconfirmed."""
-        self.hangs = False
-        for publish in self.all:
-            if not publish.confirmed:
-                publish.confirm()
+def start_courier(case: Case, number: int, discovery: str, known: dict[str, Any]) -> tuple[Courier, int]:
+    """Start a courier in a folder of its own; return it and its port."""
+    folder, port = case.folder / f"n{number}", free_port()
+    folder.mkdir()
+    environment = write_platform_files(
+        folder, f"127.0.0.1:{port}", discovery, known, istanbul_settings(FLEET)
+    )
+    config = folder / "config.json"
+    document = json.loads(config.read_text()) | {"name": f"n{number}", "seed": secrets.token_hex(8)}
+    config.write_text(json.dumps(document))
+    courier = case.courier(environment | {"RELAY_NAME": f"n{number}"}, folder=folder)
+    courier.start()
+    return courier, port
 
 
 async def play(case: Case) -> None:
     """Play the case."""
-    publishes = Publishes(case)
-    broker_port = await Broker(publishes.on_publish).start()
-    platform = Platform([], lambda id_, state: case.log(f"notice {id_} {state}"))
-    notices_port, port = await platform.start(), free_port()
-    write_records(case.folder, RECORDS.format(port=broker_port))
-    file = write_file(case.folder, port, notices_port)
-    courier = case.courier({}, f"serve --app {file}")
-    courier.start()
-    client = Client(port)
-    if not await client.wait_ready(START_TIMEOUT_S):
-        raise CouldNotRunError("the courier was not ready in time")
-    begin, number, resumed = case.now(), 0, False
-    while (passed_s := case.now() - begin) < HANG_AFTER_S + HANG_S + REST_S:
-        hangs = case.trouble and HANG_AFTER_S < passed_s < HANG_AFTER_S + HANG_S
-        if hangs and not publishes.hangs:
-            publishes.hangs = True
-            case.log("the broker hangs")
-        elif publishes.hangs and not hangs and not resumed:
-            resumed = True
-            publishes.resume()
-            case.log("the broker goes on")
-        class_name = list(CLASSES)[number % len(CLASSES)]
-        key = f"{number + 1:x}" if class_name == "booking-change" else "0"
-        message = Message(class_name, 1, CLASSES[class_name], key)
-        answer = await client.enqueue(message)
-        case.log(f"handed in {message.id} {class_name}: {answer or 'no answer'}")
-        number += 1
-        await asyncio.sleep(MESSAGE_EVERY_S)
-    if len(publishes.all) < number // 2:
-        raise CouldNotRunError(f"the broker got {len(publishes.all)} publishes for {number} messages")
+    fleet = Fleet(case)
+    await fleet.start()
+    entries = [dict(entry) for entry in fleet.entries]
+    platform = Platform(entries, lambda id_, state: case.log(f"notice {id_} {state}"))
+    discovery = f"127.0.0.1:{await platform.start()}"
+    known = platform.whole()
+    started = [start_courier(case, number, discovery, known) for number in range(COURIERS)]
+    for _, port in started:
+        if not await Client(port).wait_ready(START_TIMEOUT_S):
+            raise CouldNotRunError("a courier was not ready in time")
+    begin = case.now()
+    traffic = [asyncio.create_task(hand_in(case, fleet, port)) for _, port in started]
+    await asyncio.sleep(DOWN_AT_S)
+    if case.trouble:
+        case.log("discovery is down")
+        platform.go_down()
+    await asyncio.sleep(DRAIN_AT_S - DOWN_AT_S)
+    fleet.drain(platform, begin + DOWN_AT_S + DOWN_S + TOLD_S)
+    await asyncio.sleep(DOWN_AT_S + DOWN_S - DRAIN_AT_S)
+    platform.down = False
+    case.log("discovery is up")
+    watches = platform.watches
+    await asyncio.sleep(REPLACED_AT_S - DOWN_AT_S - DOWN_S)
+    case.log(f"{platform.watches - watches} watches were opened since")
+    fleet.replace(platform)
+    await asyncio.sleep(LENGTH_S - REPLACED_AT_S)
+    for task in traffic:
+        task.cancel()
+    case.log(f"{platform.watches - watches} watches were opened since discovery was up")
+    if any(courier.exit_code() is not None for courier, _ in started):
+        raise CouldNotRunError("a courier has ended")
+    if fleet.calls < len(fleet.destination_of) // 2:
+        raise CouldNotRunError("the endpoints got few of the messages")
 
 
 main(__file__, play)
