Review: a case that can't run exits with 2, also without a build or a stand-in

Cause: found when the cases were checked in a clean checkout. run.sh ended with 127 without a build, and with 1, which means that the rule was broken, where Python itself failed, such as at a stand-in that can't be imported.

--- a/review/standins2/case.py
+++ b/review/standins2/case.py
@@ -12,7 +12,7 @@
 
 from standins2.courier import Courier, Record
 
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+HELD, BROKEN, COULD_NOT_RUN = 0, 3, 2  # exit codes; run.sh makes 1 of 3, and 2 of all others but 0
 LIMIT_S = 115.0  # a case may take 120 s
 START_TIMEOUT_S = 30.0  # a courier must be ready by then
 
