Use only endpoints of the configured list that discovery listed as ready last

Cause: the configuration's list may be old, and list.left, which corrects it, is a list of exceptions: above some 300 departures the oldest were dropped, and so ready again, at addresses that others have taken. An entry whose address or destination had changed under its id was no exception at all. Ruled out: the newest departures were kept to, so the file was written and read.

Change: list.ready holds a fingerprint of id, address and destination of each endpoint that was listed as ready last. A start uses only endpoints that it confirms, and asks for the whole list where it leaves any out. Whatever is forgotten is now left out instead of called.

--- a/pinspread/core/journal.py
+++ b/pinspread/core/journal.py
@@ -41,7 +41,7 @@
 NO_FILE = -1  # value of a descriptor while no file is open
 # During a rewrite the old and the new file exist together, each in whole blocks of the disk, and their sum
 # must stay under the limit. The rest of a file is for records of attempts and ends, which are never refused.
-FILE_PERCENT = 48  # maximum size of one file, of the limit
+FILE_PERCENT = 47  # maximum size of one file, of the limit
 OPEN_PERCENT = 85  # of this size, the maximum for pending messages
 FINISHED_PERCENT = 5  # of this size, the maximum for finished ids
 
--- a/pinspread/discovery/client.py
+++ b/pinspread/discovery/client.py
@@ -9,7 +9,6 @@
 
 from pinspread.core.engine import DeliveryEngine
 from pinspread.core.log import log
-from pinspread.core.messages import Endpoint
 from pinspread.core.time_units import US_PER_S
 from pinspread.discovery.backoff import SMALL_FLEET, reopen_delay_s
 from pinspread.discovery.departures import DepartedEndpoints
@@ -17,10 +16,12 @@
     STATES,
     EndpointUpdate,
     LineReader,
+    ListedEndpoint,
     parse_departure,
     parse_endpoint,
     parse_update,
 )
+from pinspread.discovery.ready_endpoints import ReadyEndpoints
 from pinspread.discovery.watch import Watch
 from pinspread.http.exchange import Exchange
 from pinspread.policy.events import EndpointState, UpdateScope
@@ -99,15 +100,16 @@
         self._next_open_us = 0  # earliest time of the next watch
         self._wake = anyio.Event()
         self._departed = DepartedEndpoints(settings.state, settings.disk_bytes)
+        self._ready = ReadyEndpoints(settings.state, settings.disk_bytes)
 
     # --- calls from the engine and the service -------------------------------------------------------
 
     def start(self) -> None:
-        """Pass the configuration's list to the engine, with endpoints reported as draining or removed since.
+        """Pass the configuration's list to the engine, without endpoints that have drained or left since.
 
-        That list may be old, and an unreachable agent reports no newer one. Without the file of departures,
-        drains that an earlier process learned of would be forgotten, and messages would be sent to those
-        endpoints.
+        That list may be old, and an unreachable agent reports no newer one. Without the files in the state
+        folder, what an earlier process learned would be forgotten: messages would be sent to draining
+        endpoints, or to others that have taken the addresses of removed ones.
 
         Raises:
             ValueError: The configuration has no valid list.
@@ -116,7 +118,13 @@
         cached = self.settings.cached_endpoints
         if isinstance(cached, dict) and isinstance(cached.get("hosts"), list):
             cached = self._departed.apply_to(cached)
-        self._apply(parse_update(cached), UpdateScope.CACHED)
+        update = parse_update(cached)
+        listed = self._endpoints(update)
+        endpoints = self._ready.confirmed(listed)
+        self._ready.start_from(endpoints)
+        # Changes since its version do not name the endpoints of the list that were left out without a reason.
+        self.sequence = update.sequence if endpoints == listed else 0
+        self._pass_on(UpdateScope.CACHED, endpoints)
 
     def snapshot(self) -> dict[str, str | int]:
         """Return the state from which another process can continue."""
@@ -125,6 +133,8 @@
     def resume(self, discovery_state: dict[str, Any]) -> None:
         """Continue from another process's state; the list itself was transferred with the engine's state."""
         self._departed.load()
+        self._ready.start_from((endpoint, endpoint.listed) for endpoint in self.engine.endpoints.values())
+        self._ready.save()
         if discovery_state.get("address") == self.address:
             self.sequence = discovery_state["seq"]
 
@@ -282,6 +292,8 @@
                         return
                     latest = update.sequence
                     self._apply(update, moved=watch.address != self.address)
+                elif self._ready.unsaved:
+                    self._ready.save()
                 self.first_answer.set()  # also for None, an empty line: the list has not changed
                 self._expect_line(watch, LINE_TIMEOUT_S)
 
@@ -305,31 +317,30 @@
             timeout_s += SHARED_SPREAD_S * self._random.random()
         watch.silent_at_us = self.engine.clock.now() + int(timeout_s * US_PER_S)
 
-    def _apply(self, update: EndpointUpdate, scope: UpdateScope | None = None, moved: bool = False) -> None:
-        """Pass an update to the engine.
+    def _apply(self, update: EndpointUpdate, moved: bool = False) -> None:
+        """Record an update from a watch, and pass it to the engine.
 
         Args:
             update: The update.
-            scope: The scope of an update that does not come from a watch; otherwise it follows from the
-                update.
             moved: The update comes from an old address of discovery, so its version is not kept.
         """
         endpoints = self._endpoints(update)
         if not moved:
             self.sequence = update.sequence
-        if scope is None:
-            scope = UpdateScope.FULL if update.full else UpdateScope.DELTA
-        if scope is not UpdateScope.CACHED:
-            states = {endpoint.id: state for endpoint, state in endpoints}
-            missing = self.engine.endpoints.keys() - states.keys() if scope is UpdateScope.FULL else ()
-            self._departed.record(dict.fromkeys(missing, EndpointState.REMOVED) | states)
+        states = {endpoint.id: state for endpoint, state in endpoints}
+        missing = self.engine.endpoints.keys() - states.keys() if update.full else ()
+        self._departed.record(dict.fromkeys(missing, EndpointState.REMOVED) | states)
+        self._ready.record(update, endpoints)
+        self._pass_on(UpdateScope.FULL if update.full else UpdateScope.DELTA, endpoints)
+
+    def _pass_on(self, scope: UpdateScope, endpoints: list[ListedEndpoint]) -> None:
         self.engine.update_endpoints(scope, endpoints)
         if endpoints or scope is not UpdateScope.DELTA:
             changed = {endpoint.id: state.name for endpoint, state in endpoints}
             shown = changed if scope is UpdateScope.DELTA else len(endpoints)
             log("endpoint_list", scope=scope.name, seq=self.sequence, endpoints=shown)
 
-    def _endpoints(self, update: EndpointUpdate) -> list[tuple[Endpoint, EndpointState]]:
+    def _endpoints(self, update: EndpointUpdate) -> list[ListedEndpoint]:
         endpoints = []
         for entry in update.entries:
             try:
@@ -340,7 +351,7 @@
                 endpoints += self._departure(entry)
         return endpoints
 
-    def _departure(self, entry: object) -> list[tuple[Endpoint, EndpointState]]:
+    def _departure(self, entry: object) -> list[ListedEndpoint]:
         """Return the known endpoint that a malformed entry reports as draining or removed, if any."""
         departure = parse_departure(entry)
         if departure is None:
--- a/pinspread/discovery/endpoint_list.py
+++ b/pinspread/discovery/endpoint_list.py
@@ -19,6 +19,9 @@
 STATES = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING, "gone": EndpointState.REMOVED}
 HEALTH_WORDS = {state: word for word, state in STATES.items()}
 
+ListedEndpoint = tuple[Endpoint, EndpointState]
+"""An endpoint with its state in the endpoint list."""
+
 _STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 _OPENING, _CLOSING = re.compile(rb"[{[]"), re.compile(rb"[]}]")
 
