Publish by the route that a broker's record has now, not when its connection was opened

Cause: BrokerConnection copied the endpoint's route at its opening, and a connection was used again where the address was the same. Ruled out: the list was applied, and the attempt's endpoint had the new route.

Change: exchange and routing key come from the attempt's endpoint. The virtual host is the connection's; where it or the address differs, another connection is opened, and the old one ends with its last pending publish instead of failing it. The same cause: login and connection time-out towards brokers and the services and interval of DNS-SD were copied at the start of the process; a reload sets them now. A broker whose id becomes an endpoint of another scheme loses its connection.

--- a/pinspread/amqp/broker_connection.py
+++ b/pinspread/amqp/broker_connection.py
@@ -29,6 +29,7 @@
 }
 MECHANISM = "PLAIN"
 LOCALE = "en_US"
+DEFAULT_VIRTUAL_HOST = "/"
 
 
 def blocked_result() -> AttemptResult:
@@ -46,16 +47,18 @@
 
     Attributes:
         address: The broker's `host:port` when the connection was opened.
+        virtual_host: The virtual host that the connection was opened to.
         stream: The frames of the connection.
         pending: The publishes that wait for their confirms, by their delivery tags.
         closed_reason: Why the connection is closed; empty while it is open.
-        delisted: Whether discovery no longer lists the broker; the connection then closes after its last
-            pending publish.
+        delisted: Whether discovery no longer lists the broker, or with another address or virtual host; the
+            connection then closes after its last pending publish.
         unblocked: Cleared while the broker blocks publishers; also set on close, to wake waiting attempts.
     """
 
     def __init__(self, endpoint: Endpoint, connection: Connection, clock: Clock) -> None:
         self.address = endpoint.address
+        self.virtual_host = _virtual_host(endpoint)
         self.stream = FrameStream(connection, clock)
         self.pending: dict[int, PendingConfirm] = {}
         self.closed_reason = ""
@@ -63,12 +66,19 @@
         self.unblocked = anyio.Event()
         self.unblocked.set()
         self._endpoint_id = endpoint.id
-        self._route = endpoint.route
         self._clock = clock
         self._published = 0  # the delivery tag of the latest publish
         self._heartbeat_s = 0
         self._contents = ContentAssembler()
 
+    def reaches(self, endpoint: Endpoint) -> bool:
+        """Return whether publishes to the broker, as it is listed now, may be made on this connection.
+
+        Exchange and routing key belong to a publish, so a change of these needs no other connection.
+        """
+        listed = endpoint.address, _virtual_host(endpoint)
+        return (self.address, self.virtual_host) == listed and not self.closed_reason
+
     async def open(self, login: str, heartbeat_s: int) -> None:
         """Open the AMQP connection, and a channel in confirm mode.
 
@@ -89,7 +99,7 @@
         stream.frame_max = min(tune.frame_max or FRAME_MAX, FRAME_MAX)
         self._heartbeat_s = min(tune.heartbeat, heartbeat_s) if tune.heartbeat else heartbeat_s
         await stream.send(commands.Connection.TuneOk(CHANNEL_MAX, stream.frame_max, self._heartbeat_s))
-        await stream.send(commands.Connection.Open(self._route.get("vhost", "/")))
+        await stream.send(commands.Connection.Open(self.virtual_host))
         await stream.read_method("Connection.OpenOk")
         await stream.send(commands.Channel.Open(), CHANNEL)
         await stream.read_method("Channel.OpenOk")
@@ -164,8 +174,10 @@
             message_id=message.id,
             expiration=str(max(1, remaining_us // US_PER_MS)),
         )
-        exchange = self._route.get("exchange", "")
-        routing_key = self._route.get("routing_key", f"partner.{message.destination}")
+        # The attempt's endpoint has the route that discovery lists now; the connection may be older.
+        route = attempt.endpoint.route
+        exchange = route.get("exchange", "")
+        routing_key = route.get("routing_key", f"partner.{message.destination}")
         method = commands.Basic.Publish(0, exchange, routing_key, mandatory=True)
         return marshal_content(method, properties, message.body, CHANNEL, self.stream.frame_max)
 
@@ -254,7 +266,7 @@
     # --- closing ----------------------------------------------------------------------------------------
 
     def delist(self) -> None:
-        """Close the connection once no publish is pending, as discovery no longer lists the broker."""
+        """Close the connection once no publish is pending, as discovery no longer lists the broker so."""
         self.delisted = True
         self.close_if_unused()
 
@@ -279,3 +291,7 @@
             confirm.connection_closed(reason)
         self.pending.clear()
         self.unblocked.set()
+
+
+def _virtual_host(endpoint: Endpoint) -> str:
+    return endpoint.route.get("vhost", DEFAULT_VIRTUAL_HOST)
--- a/pinspread/amqp/transport.py
+++ b/pinspread/amqp/transport.py
@@ -36,6 +36,8 @@
 
     Attributes:
         connections: The connections by endpoint id; some may have been lost since they were opened.
+        connect_timeout_us: As given; a reload may change it.
+        login: As given; a reload may change it, for connections that are opened later.
         connect_locks: Locks held while a connection is opened, by endpoint id.
     """
 
@@ -51,8 +53,8 @@
         self.connect_locks: dict[str, anyio.Lock] = {}
         self._clock = clock
         self._tasks = tasks
-        self._connect_timeout_us = connect_timeout_us
-        self._login = login
+        self.connect_timeout_us = connect_timeout_us
+        self.login = login
         self._heartbeat_s = heartbeat_s
 
     async def send(self, attempt: Attempt) -> AttemptResult:
@@ -116,11 +118,11 @@
         """Return the connection to a broker; it is opened if there is none."""
         async with self.connect_locks.setdefault(endpoint.id, anyio.Lock()):
             broker = self.connections.get(endpoint.id)
-            if broker is not None and broker.address == endpoint.address and not broker.closed_reason:
+            if broker is not None and broker.reaches(endpoint):
                 return broker
             if broker is not None:
-                broker.close("its address has changed")
-            with anyio.fail_after(self._connect_timeout_us / US_PER_S):
+                broker.delist()
+            with anyio.fail_after(self.connect_timeout_us / US_PER_S):
                 broker = await self._open(endpoint)
             self.connections[endpoint.id] = broker
             self._tasks.start_soon(broker.run)
@@ -130,7 +132,7 @@
         connection = await dial(endpoint.address)
         try:
             broker = BrokerConnection(endpoint, connection, self._clock)
-            await broker.open(self._login, self._heartbeat_s)
+            await broker.open(self.login, self._heartbeat_s)
         except BaseException:
             connection.close()
             raise
--- a/pinspread/config/dnssd.py
+++ b/pinspread/config/dnssd.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import replace
-from typing import Any, cast
+from typing import Any, NamedTuple, cast
 
 import anyio
 import anyio.to_thread
@@ -145,16 +145,26 @@
     return rate_per_s
 
 
+class DnsSdSource(NamedTuple):
+    """Where endpoints are discovered.
+
+    Attributes:
+        records: The records.
+        services: The services whose instances are endpoints.
+        refresh_s: The interval between two looks at the records, in seconds.
+    """
+
+    records: Records
+    services: Sequence[str]
+    refresh_s: float
+
+
 class DnsSdDiscovery:
     """Keeps the engine's list of endpoints up to date from DNS-SD (implements `core.ports.Discovery`)."""
 
-    def __init__(
-        self, engine: DeliveryEngine, records: Records, services: Sequence[str], refresh_s: float
-    ) -> None:
+    def __init__(self, engine: DeliveryEngine, source: DnsSdSource) -> None:
         self.engine = engine
-        self.records = records
-        self.services = services
-        self.refresh_s = refresh_s
+        self.source = source
         self.last: list[FoundEndpoint] | None = None
         self.first_answer = anyio.Event()
 
@@ -175,9 +185,9 @@
     def apply_settings(self, settings: EffectiveSettings) -> None:
         """Do nothing, since the next refresh reads the kinds from the engine's settings."""
 
-    def change_address(self, records: Records) -> None:
-        """Use other records from now on."""
-        self.records = records
+    def change_address(self, source: DnsSdSource) -> None:
+        """Use another source from the next refresh on."""
+        self.source = source
 
     async def run(self) -> None:
         """Refresh the list until cancelled; if the records cannot be read, the list stays as it was."""
@@ -187,12 +197,12 @@
             except (OSError, ValueError, dns.exception.DNSException) as error:
                 log("discovery_failed", error=str(error) or type(error).__name__)
             self.first_answer.set()
-            await anyio.sleep(self.refresh_s)
+            await anyio.sleep(self.source.refresh_s)
 
     async def _refresh(self) -> None:
         kinds = cast(EffectiveSettings, self.engine.settings).kinds
         discovered = await anyio.to_thread.run_sync(
-            browse, self.records, self.services, kinds, abandon_on_cancel=True
+            browse, self.source.records, self.source.services, kinds, abandon_on_cancel=True
         )
         if discovered == self.last:
             return
--- a/pinspread/core/endpoint_registry.py
+++ b/pinspread/core/endpoint_registry.py
@@ -80,7 +80,9 @@
             known.update_from(endpoint)
             endpoint = known
         elif known is not None:
-            known.usable = False  # the endpoint now has another address
+            known.usable = False  # the endpoint now has another address or route
+            if known.scheme != endpoint.scheme:
+                self._forget(known)
         self.endpoints[endpoint.id] = endpoint
         self.destinations.add(endpoint.destination)
         return endpoint
@@ -89,6 +91,9 @@
         # Endpoints are replaced under new ids all day: anything kept for removed ones would fill the memory.
         endpoint = self.endpoints.pop(endpoint_id)
         endpoint.usable = False
+        self._forget(endpoint)
+
+    def _forget(self, endpoint: Endpoint) -> None:
         if endpoint.scheme in self._context.transports:
             self._context.transports[endpoint.scheme].forget(endpoint)
 
--- a/pinspread/service/components.py
+++ b/pinspread/service/components.py
@@ -34,6 +34,7 @@
         engine: The engine, with its fronts, transports and background services.
         limiter: Limits client connections; shared by both fronts.
         discovery: Reports endpoints to the engine.
+        broker_transport: Publishes to AMQP brokers; None before `connect_brokers`.
         notifications: Notifies the platform of its clients' final results.
     """
 
@@ -48,6 +49,7 @@
         self.http_transport = HttpTransport(
             self.clock, settings.connect_timeout_us, settings.load_reports_enabled
         )
+        self.broker_transport: BrokerTransport | None = None
         self.resp_front = RespFront(self.engine, self.notifications, self.limiter)
         self.amqp_front = AmqpFront(self.engine, options.amqp.heartbeat_s, self.limiter)
         self.engine.transports["http"] = self.http_transport
@@ -62,6 +64,7 @@
     def connect_brokers(self, tasks: "TaskGroup", connect_timeout_us: int, login: str) -> None:
         """Add the transport to AMQP brokers, whose connections run in `tasks`."""
         transport = BrokerTransport(self.clock, tasks, connect_timeout_us, login)
+        self.broker_transport = transport
         self.engine.transports["amqp"] = cast("Transport", transport)  # bundles go by HTTP only
 
     def adopt_time_base(self) -> None:
@@ -83,6 +86,9 @@
         self.engine.apply_settings(settings)
         self.http_transport.dial_us = settings.connect_timeout_us
         self.http_transport.reports = settings.load_reports_enabled
+        if self.broker_transport is not None:
+            self.broker_transport.connect_timeout_us = settings.connect_timeout_us
+            self.broker_transport.login = new.amqp_login
         self.limiter.resize(*_connection_limits(settings))
         self.engine.journal.resize(settings.disk_bytes)
         self.discovery.apply_settings(settings)
--- a/pinspread/service/options.py
+++ b/pinspread/service/options.py
@@ -15,11 +15,19 @@
 
 
 class ReloadedSettings(NamedTuple):
-    """The result of a reload: the settings, the source of discovery, and the notifications' address."""
+    """The result of a reload.
+
+    Attributes:
+        settings: The settings.
+        discovery_source: The platform's address, or the `DnsSdSource`.
+        notification_address: Where the platform is notified of final results.
+        amqp_login: The response of the PLAIN mechanism, sent to brokers.
+    """
 
     settings: EffectiveSettings
-    discovery_source: Any  # the platform's address, or DNS-SD `Records`
+    discovery_source: Any
     notification_address: str
+    amqp_login: str = GUEST_LOGIN
 
 
 @dataclass(slots=True)
--- a/pinspread/standalone.py
+++ b/pinspread/standalone.py
@@ -10,7 +10,7 @@
 
 from pinspread.config import application
 from pinspread.config.amqp_front import AmqpFile
-from pinspread.config.dnssd import DnsSdDiscovery, Records
+from pinspread.config.dnssd import DnsSdDiscovery, DnsSdSource, Records
 from pinspread.config.models import Brokers, Copies, File, Leases, Members
 from pinspread.config.settings import EffectiveSettings, SettingsError, check_complete
 from pinspread.core.engine import DeliveryEngine
@@ -35,13 +35,14 @@
     Path(file.journal.folder).mkdir(parents=True, exist_ok=True)
 
     def make_discovery(engine: DeliveryEngine) -> DnsSdDiscovery:
-        return DnsSdDiscovery(engine, records(file), file.discovery.services, file.discovery.refresh_s)
+        return DnsSdDiscovery(engine, dns_sd_source(file))
 
     def reload(last: EffectiveSettings) -> ReloadedSettings:
         new = application.load(path)
         effective = application.effective_settings(new, application.random_seed())
         check_complete(effective, last.key_kinds)
-        return ReloadedSettings(effective, records(new), application.notification_address(new))
+        notification_address = application.notification_address(new)
+        return ReloadedSettings(effective, dns_sd_source(new), notification_address, amqp_login(new.brokers))
 
     return ServiceOptions(
         application.effective_settings(file, seed),
@@ -59,6 +60,11 @@
     return Records(file.discovery.domain, file.discovery.zone_file, file.discovery.server)
 
 
+def dns_sd_source(file: File) -> DnsSdSource:
+    """Where the file has endpoints discovered."""
+    return DnsSdSource(records(file), file.discovery.services, file.discovery.refresh_s)
+
+
 def amqp_login(brokers: Brokers) -> str:
     """The response of AMQP's PLAIN mechanism; SettingsError if the password file cannot be read."""
     if not brokers.password_file:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -131,6 +131,7 @@
         self.effects = []  # the id of each message that took effect, once for each time
         self.streams = set()  # the open connections that are ready for publishing
         self.logins = set()
+        self.routes = {}  # message id -> virtual host, exchange and routing key of its latest publish
         self.reading = anyio.Event()  # a test replaces it by one that is not set, to stop reading
         self.reading.set()
 
@@ -160,7 +161,7 @@
             self.logins.add((await stream.read_method("Connection.StartOk")).response)
             await stream.send(commands.Connection.Tune(8, 4096, 1))
             await stream.read_method("Connection.TuneOk")
-            await stream.read_method("Connection.Open")
+            opened = await stream.read_method("Connection.Open")
             await stream.send(commands.Connection.OpenOk())
             await stream.read_method("Channel.Open")
             await stream.send(commands.Channel.OpenOk(), 1)
@@ -178,6 +179,8 @@
                     continue
                 method, properties, body = content
                 tag += 1
+                route = opened.virtual_host, method.exchange, method.routing_key
+                self.routes[properties.message_id] = route
                 await self.handle_publish(stream, tag, method, properties, body)
         except OSError:
             pass
--- a/tests/test_amqp_broker.py
+++ b/tests/test_amqp_broker.py
@@ -1,13 +1,11 @@
 """The transport to AMQP brokers against a stand-in broker that breaks at seeded random points."""
 
 import random
-import signal
 import socket
-import subprocess
-import sys
 
 import anyio
 import pytest
+from application_process import Application
 from pamqp import commands
 from platform_helpers import acknowledging_platform
 from standins import (
@@ -15,14 +13,11 @@
     BrokerStandIn,
     Client,
     HttpStandIn,
-    own_address,
     running_courier,
     serve_on_loopback,
     wait_until,
-    wait_until_answering,
 )
 
-from pinspread.config.template import template
 from pinspread.policy.events import EndpointState
 
 PAYMENTS, DESTINATIONS = 3000, 20
@@ -259,40 +254,6 @@
         assert all(r[0] - endpoint.requests[0][0] >= 0.4 for r in endpoint.requests[1:])
 
 
-class Application:
-    """A courier of one application (`--app`) in a process of its own, whose only endpoint is a broker."""
-
-    def __init__(self, folder, broker, platform_address):
-        self.address = own_address()
-        text = template("pay").replace("127.0.0.1:8500", platform_address)
-        text = text.replace('amqp = "127.0.0.1:5672"', "").replace("127.0.0.1:6379", self.address)
-        text = text.replace("127.0.0.1:9600", own_address())
-        text = text.replace('"state"', f'"{folder}/state"').replace("partners.zone", f"{folder}/zone")
-        (folder / "secret").write_text("s3cret\n")
-        text = text.replace('user = "guest"', f'user = "u"\npassword_file = "{folder}/secret"')
-        (folder / "pay.toml").write_text(text)
-        (folder / "zone").write_text(
-            f"""$TTL 60
-_amqp._tcp PTR b._amqp._tcp
-b._amqp._tcp SRV 0 0 {broker.split(":")[1]} host
-b._amqp._tcp TXT "dest=1" "rate=500"
-host A 127.0.0.1
-"""
-        )
-        command = [sys.executable, "-m", "pinspread", "serve", "--app", str(folder / "pay.toml")]
-        self.process = subprocess.Popen(command, stdout=subprocess.DEVNULL)
-
-    async def client(self):
-        """Return a client, once the courier answers."""
-        client = Client(self.address)
-        await wait_until_answering(client)
-        return client
-
-    async def kill(self):
-        self.process.send_signal(signal.SIGKILL)
-        await anyio.to_thread.run_sync(self.process.wait)
-
-
 async def test_a_process_killed_amid_payments_repeats_none(tmp_path):
     rng = random.Random(3)
     broker, platform = BrokerStandIn(), HttpStandIn(lambda request: (204, [], b""))
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -197,7 +197,9 @@
         ports = {"http": http.split(":")[1], "amqp": amqp.split(":")[1]}
         (tmp_path / "z").write_text(ZONE.format(**ports))
         records = dnssd.Records("partners.example.", zone_file=str(tmp_path / "z"))
-        discovery = dnssd.DnsSdDiscovery(courier.engine, records, ["_http._tcp", "_amqp._tcp"], 0.05)
+        discovery = dnssd.DnsSdDiscovery(
+            courier.engine, dnssd.DnsSdSource(records, ["_http._tcp", "_amqp._tcp"], 0.05)
+        )
         courier.tasks.start_soon(discovery.run)
         client = await AmqpClient.open(courier.amqp)
         await client.consume()
