Count all memory of clients that stop within a request, and close them in time

Cause: an AMQP session's read buffer didn't count towards the limit on clients' memory, and clients with heartbeats were left out of the time-out for incomplete requests. On RESP a buffer stopped counting with the first command taken from it. Long lists of options, and of fields in AMQP tables, were split as a whole before anything was checked. Ruled out: the heap's fragmentation (96 MB against 98 with other thresholds).

Change: each use of a session's memory is reserved for as long as it is held; a refused session drops it at once.

--- a/pinspread/amqp/frame_stream.py
+++ b/pinspread/amqp/frame_stream.py
@@ -1,5 +1,7 @@
 """Frames on one connection: one task reads them, and any task may write."""
 
+from collections.abc import Callable
+
 import anyio
 from pamqp import base, commands, frame, heartbeat
 
@@ -18,6 +20,8 @@
     Args:
         connection: The TCP connection, which the caller closes.
         clock: Measures how long the other side has been silent.
+        reserve: As for `ReadBuffer`.
+        partly_received: Called when a part of a frame has been received, and the rest is awaited.
 
     Attributes:
         frame_max: Bytes of the largest frame that the two sides have agreed on.
@@ -25,10 +29,17 @@
         lock: Held by the task that writes.
     """
 
-    def __init__(self, connection: Connection, clock: Clock) -> None:
+    def __init__(
+        self,
+        connection: Connection,
+        clock: Clock,
+        reserve: Callable[[int], bool] | None = None,
+        partly_received: Callable[[], None] | None = None,
+    ) -> None:
         self.connection = connection
         self.clock = clock
-        self.buffer = ReadBuffer()
+        self.buffer = ReadBuffer(reserve)
+        self._partly_received = partly_received
         self.frame_max = FRAME_MAX
         self.received_us = clock.now()
         self.lock = anyio.Lock()
@@ -57,6 +68,8 @@
             if not await self.buffer.fill(self.connection):
                 raise ConnectionResetError("the other side has closed")
             self.received_us = self.clock.now()
+            if self._partly_received is not None and self.buffer.start < self.buffer.end:
+                self._partly_received()
         self.buffer.consume(parsed.size)
         return parsed.channel, parsed.payload
 
--- a/pinspread/amqp/frames.py
+++ b/pinspread/amqp/frames.py
@@ -14,6 +14,9 @@
 METHOD, HEADER, BODY, HEARTBEAT = 1, 2, 3, 8  # frame types
 FRAME_TYPES = frozenset((METHOD, HEADER, BODY, HEARTBEAT))
 MIN_FRAME_MAX = 4096  # bytes: the smallest limit that the specification allows
+# Bytes of the largest method or header that is decoded: tens of thousands of short fields in a table would
+# take long. Bodies may be larger.
+MAX_DECODED = 16_384
 FRAME_MAX = 65_536  # bytes: the largest frame that this program accepts, and the limit that it offers
 
 Payload = base.Frame | header.ContentHeader | heartbeat.Heartbeat | memoryview
@@ -55,6 +58,8 @@
         raise AmqpError(ReplyCode.FRAME_ERROR, f"unknown frame type {kind}")
     if size > frame_max:
         raise AmqpError(ReplyCode.FRAME_ERROR, f"a frame of {size} bytes is over {frame_max}")
+    if kind in (METHOD, HEADER) and size > MAX_DECODED:
+        raise AmqpError(ReplyCode.FRAME_ERROR, f"a method or header of {size} bytes is over {MAX_DECODED}")
     if len(view) < size:
         return None
     if view[size - 1] != FRAME_END:
--- a/pinspread/amqp/session.py
+++ b/pinspread/amqp/session.py
@@ -7,7 +7,7 @@
 
 import anyio
 import anyio.lowlevel
-from pamqp import base, commands, heartbeat
+from pamqp import base, commands, frame, heartbeat
 from pamqp.common import FieldTable
 
 from pinspread.amqp.channel import Channel
@@ -18,6 +18,7 @@
 from pinspread.amqp.frames import FRAME_MAX, MIN_FRAME_MAX, PROTOCOL_HEADER, Payload
 from pinspread.amqp.publishing import FRONT_NAME, Publisher
 from pinspread.amqp.result_queue import ResultQueueRegistry
+from pinspread.amqp.session_memory import MemoryUse, SessionMemory
 from pinspread.core.engine import DeliveryEngine
 from pinspread.core.log import log
 from pinspread.sockets import ClientConnection, Connection, ConnectionLimiter
@@ -72,11 +73,12 @@
         client: ClientConnection,
         heartbeat_s: int,
     ) -> None:
-        self._limiter = services.limiter
         self._client = client
+        self._clock = services.engine.clock
+        self._memory = SessionMemory(services.limiter, client)
         self._connection = connection
         self._heartbeat_s = heartbeat_s
-        self._stream = FrameStream(connection, services.engine.clock)
+        self._stream = FrameStream(connection, self._clock, self._reserve_buffer, self._note_incomplete)
         self._writer = FrameWriter(self._stream)
         self._channels: dict[int, Channel] = {}
         self.closing = False
@@ -90,6 +92,8 @@
             if not await self._open():
                 return
             self._client.has_heartbeat = True  # heartbeats show when the client is lost
+            self._client.timeout_reply = _CLOSE_INCOMPLETE
+            self._client.command_answered(self._clock.now())
             async with anyio.create_task_group() as tasks:
                 scope = tasks.cancel_scope
                 tasks.start_soon(self._run_until_end, self._writer.run, scope)
@@ -116,10 +120,13 @@
     def _announce_if_answered(self) -> None:
         # The answers precede the notification in the writer's queue, and a client that publishes more only
         # once it has them cannot have sent more yet.
-        in_content = any(channel.contents.method is not None for channel in self._channels.values())
-        if not in_content and not self._publisher.unconfirmed and self._stream.is_handled():
+        if not self._in_content() and not self._publisher.unconfirmed and self._stream.is_handled():
             self.announce_shutdown()
 
+    def _in_content(self) -> bool:
+        """Return whether the rest of a content is awaited on any channel."""
+        return any(channel.contents.method is not None for channel in self._channels.values())
+
     async def _run_until_end(self, work: Callable[[], Awaitable[None]], scope: anyio.CancelScope) -> None:
         """Run one task of the session; cancel all of them when it ends or the connection is lost."""
         try:
@@ -179,8 +186,13 @@
             await self._writer.flush()
             await self._stream.send(close)
             payload: Payload | None = None
-            while not isinstance(payload, commands.Connection.CloseOk):
-                _, payload = await self._stream.read_frame()
+            try:
+                while not isinstance(payload, commands.Connection.CloseOk):
+                    _, payload = await self._stream.read_frame()
+            except (AmqpError, ConnectionRefusedError):
+                # A frame that is not well-formed, or too large for the room left, hides all that follow it.
+                self._stream.buffer.clear()
+                await self._connection.linger()
 
     # --- reading ----------------------------------------------------------------------------------------
 
@@ -191,17 +203,39 @@
                 if not handled % FRAMES_PER_TURN:
                     # Otherwise a client that sends without a pause would keep the event loop to itself.
                     await anyio.lowlevel.checkpoint()
-                number, payload = await self._stream.read_frame()
+                number, payload = await self._read_frame()
                 if number == CONNECTION_CHANNEL:
                     if not await self._handle_on_connection(payload):
                         return
                 elif not self.closing:
                     self._handle_on_channel(number, payload)
+                if self._in_content():
+                    self._note_incomplete()
+                else:
+                    self._note_complete()
                 if self._end_requested:
                     self._announce_if_answered()
         except AmqpError as error:
             await self._close(error)
 
+    async def _read_frame(self) -> tuple[int, Payload]:
+        try:
+            return await self._stream.read_frame()
+        except ConnectionRefusedError as error:
+            self._stream.buffer.clear()  # no frame behind this one can be read
+            raise AmqpError(ReplyCode.RESOURCE_ERROR, str(error)) from None
+
+    def _reserve_buffer(self, size: int) -> bool:
+        return self._memory.reserve(MemoryUse.READ_BUFFER, size)
+
+    def _note_incomplete(self) -> None:
+        """Note that the rest of a frame or of a content is awaited: it has to come in time."""
+        self._client.command_begun(self._clock.now())
+
+    def _note_complete(self) -> None:
+        """Note that the client has completed a request."""
+        self._client.command_answered(self._clock.now())
+
     async def _handle_on_connection(self, payload: Payload) -> bool:
         """Handle a frame of channel 0; return whether the connection is still open."""
         if isinstance(payload, heartbeat.Heartbeat):
@@ -264,15 +298,22 @@
         if not isinstance(payload, base.Frame):
             self._reserve_contents(channel)
         if received is not None:
+            self._note_complete()
             self._methods.handle(channel, received)
 
     def _reserve_contents(self, channel: Channel) -> None:
-        """Reserve the memory of incomplete contents, which counts towards a limit for all clients."""
         size = sum(open_channel.contents.buffered for open_channel in self._channels.values())
-        if not self._limiter.reserve(self._client, size):
+        if not self._memory.reserve(MemoryUse.CONTENTS, size):
             text = "no room for more contents"
             raise AmqpError(ReplyCode.RESOURCE_ERROR, text, channel.contents.method)
 
 
+# Sent to a client that has stopped within a frame or a content.
+_CLOSE_INCOMPLETE = frame.marshal(
+    commands.Connection.Close(ReplyCode.CONNECTION_FORCED, "no whole frame or content in time", 0, 0),
+    CONNECTION_CHANNEL,
+)
+
+
 def _log_malformed(error: AmqpError) -> None:
     log("malformed", front=FRONT_NAME, code=error.code, error=error.text)
--- a/pinspread/resp/commands.py
+++ b/pinspread/resp/commands.py
@@ -75,7 +75,6 @@
             if arguments is None:
                 client.command_begun(self.engine.clock.now())
                 return BatchResult(True, size, errors)
-            self.limiter.reserve(client, 0)
             reply = self._execute(client, arguments)
             output += reply.data
             buffer.consume(size)
--- a/pinspread/resp/front.py
+++ b/pinspread/resp/front.py
@@ -143,6 +143,7 @@
             await session.run(handed_over)
         except ConnectionRefusedError as error:
             log("malformed", error=str(error))
+            session.buffer.clear()
             connection.try_write(replies.busy(replies.OUT_OF_MEMORY_RETRY_MS))
             await connection.linger()
         except OSError:
--- a/pinspread/resp/parser.py
+++ b/pinspread/resp/parser.py
@@ -17,6 +17,7 @@
 # too long for its field.
 MAX_STRING_BYTES = 96 * 1024
 MAX_COMMAND_BYTES = 128 * 1024
+MAX_OPTIONS_BYTES = 4096  # of an ENQUEUE; splitting tens of thousands of short options takes long
 MAX_HEADER_BYTES = 32  # of the line that gives the number of arguments or the length of a string
 ENQUEUE_ARGUMENTS = 5  # with the command's name
 # The options of an ENQUEUE command.
@@ -143,6 +144,8 @@
     if len(arguments) != ENQUEUE_ARGUMENTS:
         raise CommandError(f"ENQUEUE takes key, id, options and body, not {len(arguments) - 1} arguments")
     _, key, id_, options, body = arguments
+    if len(options) > MAX_OPTIONS_BYTES:
+        raise CommandError(f"options of {len(options)} bytes are over {MAX_OPTIONS_BYTES}")
     if len(body) > MAX_BODY_BYTES:
         raise CommandError(f"a body of {len(body)} bytes is over {MAX_BODY_BYTES}")
     return EnqueueRequest(
--- a/pinspread/sockets/limiter.py
+++ b/pinspread/sockets/limiter.py
@@ -38,7 +38,8 @@
         answered: At least one of its commands was answered without an error.
         submitted: The client has submitted a message.
         mid_command: A command was received in part.
-        has_heartbeat: Its protocol detects lost clients by heartbeats, so it is never closed for being idle.
+        has_heartbeat: Its protocol detects lost clients by heartbeats, so it is never closed for being idle,
+            only for an incomplete command.
         reserved_bytes: Memory reserved for it beyond the initial buffer that each connection has.
         timeout_reply: The reply before the close if the client does not send a complete command in time.
         requested_end: When its session is to end the stream.
@@ -178,11 +179,13 @@
         """Close connections whose command has been incomplete, or that have been idle, for too long."""
         now_us = self.clock.now()
         for client in list(self.clients.values()):
-            if client.has_heartbeat or not self._is_overdue(client, now_us):
+            if client.has_heartbeat and not client.mid_command:
+                continue
+            if not self._is_overdue(client, now_us):
                 continue
             # A client that sent part of a command, or none yet, must get a reply or a close in time. A
             # session that does not wait for input may have written a part of another reply.
-            in_reply = not client.connection.awaiting_input
+            in_reply = bool(client.connection.unsent_bytes) or not client.connection.awaiting_input
             if client.timeout_reply and not client.between_commands and not in_reply:
                 client.connection.try_write(client.timeout_reply)
             self._close(client, "idle" if client.between_commands else "no command in time")
--- a/pinspread/sockets/read_buffer.py
+++ b/pinspread/sockets/read_buffer.py
@@ -12,7 +12,8 @@
     """Bytes that were read and are not consumed yet. Slices of it are valid until the next read.
 
     Args:
-        reserve: Called with the new size in bytes before the buffer grows; returns false if it may not.
+        reserve: Called with the new size in bytes before the buffer grows; returns false if it may not. It is
+            called with 0 once the buffer has its smallest size again.
 
     Attributes:
         data: The buffer.
@@ -30,8 +31,10 @@
         return memoryview(self.data)[self.start : self.end]
 
     def preload(self, data: bytes) -> None:
-        """Fill the buffer with bytes that another process read."""
+        """Fill the buffer with bytes that another process read, also above the limit on memory."""
         self.data = bytearray(max(MIN_SIZE, 2 * len(data)))
+        if len(self.data) > MIN_SIZE:
+            self.reserve(len(self.data))
         self.data[: len(data)] = data
         self.start, self.end = 0, len(data)
 
@@ -49,18 +52,33 @@
         """
         if not self.end and len(self.data) > MIN_SIZE:
             self.data = bytearray(MIN_SIZE)
+            self.reserve(0)
         if len(self.data) - self.end < MIN_FREE:
-            unconsumed = bytes(self.view())
-            if len(unconsumed) > len(self.data) // 2:
-                if not self.reserve(2 * len(self.data)):
+            size = len(self.data)
+            if self.end - self.start > size // 2:
+                size *= 2
+                if not self.reserve(size):
                     raise ConnectionRefusedError(
-                        f"read buffer must not grow to {2 * len(self.data)} bytes: memory limit reached"
+                        f"read buffer must not grow to {size} bytes: memory limit reached"
                     )
-                self.data = bytearray(2 * len(self.data))
-            self.data[: len(unconsumed)] = unconsumed
-            self.start, self.end = 0, len(unconsumed)
+            self._move(size)
         return memoryview(self.data)[self.end :]
 
+    def _move(self, size: int) -> None:
+        """Move the unconsumed bytes to the start, of a new buffer if the size differs."""
+        unconsumed = bytes(self.view())
+        if size != len(self.data):
+            self.data = bytearray(size)
+        self.data[: len(unconsumed)] = unconsumed
+        self.start, self.end = 0, len(unconsumed)
+
+    def clear(self) -> None:
+        """Drop all unconsumed bytes, and the memory that they take."""
+        self.start = self.end = 0
+        if len(self.data) > MIN_SIZE:
+            self.data = bytearray(MIN_SIZE)
+            self.reserve(0)
+
     async def fill(self, connection: Connection, max_bytes: int | None = None) -> bool:
         """Read once from the connection, at most `max_bytes`; false at the end of the stream.
 
