Bound what one AMQP client may ask for, and let its consumers leave without a search

Cause: any number of consumers for a connection, counted towards no limit; each left its queue by a search through a list, in one step of the event loop. Answers that a client doesn't read were queued up to 4 MB while its requests were handled on; an error that closes a channel could be repeated at full speed.

Change: 256 consumers for a connection; consumers, channels and unread answers count towards the limit on clients' memory; no search; no request is handled while 64 KiB of answers are unread, and the client is closed after 30 s; 20 ms behind an error.

--- a/pinspread/amqp/channel_methods.py
+++ b/pinspread/amqp/channel_methods.py
@@ -13,7 +13,9 @@
 from pinspread.amqp.frame_writer import FrameWriter
 from pinspread.amqp.publishing import Publisher
 from pinspread.amqp.result_queue import ResultQueueRegistry
+from pinspread.amqp.session_memory import CONSUMER_BYTES, MemoryUse, SessionMemory
 
+MAX_CONSUMERS = 256  # of one connection
 RANDOM_NAME_BYTES = 8  # randomness in generated queue names and consumer tags
 
 Handler = Callable[[Channel, Any], None]
@@ -28,6 +30,7 @@
         queues: The queues of final results.
         writer: Queues the answers for writing.
         channels: The open channels, by their numbers.
+        memory: Reserves memory for the consumers.
     """
 
     def __init__(
@@ -36,11 +39,13 @@
         queues: ResultQueueRegistry,
         writer: FrameWriter,
         channels: dict[int, Channel],
+        memory: SessionMemory,
     ) -> None:
         self._publisher = publisher
         self._queues = queues
         self._writer = writer
         self._channels = channels
+        self._memory = memory
         self._handlers: dict[type[base.Frame], Handler] = {
             commands.Channel.Close: self._close_channel,
             commands.Channel.Flow: self._set_flow,
@@ -72,6 +77,7 @@
     def _close_channel(self, channel: Channel, _: commands.Channel.Close) -> None:
         channel.close()
         del self._channels[channel.number]
+        self._memory.reserve(MemoryUse.CONSUMERS, self._consumer_count() * CONSUMER_BYTES)
         self._writer.send(channel.number, commands.Channel.CloseOk())
 
     def _set_flow(self, channel: Channel, method: commands.Channel.Flow) -> None:
@@ -102,14 +108,32 @@
         tag = method.consumer_tag or f"ctag-{token_hex(RANDOM_NAME_BYTES)}"
         if tag in channel.consumers:
             raise AmqpError(ReplyCode.NOT_ALLOWED, f"consumer tag {tag!r} is in use", method)
+        self._reserve_consumer(method)
         consumer = Consumer(channel, tag, self._queues.get(method.queue))
         channel.consumers[tag] = consumer
         if not method.nowait:
             self._writer.send(channel.number, commands.Basic.ConsumeOk(tag))
         consumer.queue.add_consumer(consumer)
 
+    def _consumer_count(self) -> int:
+        """Return how many consumers the connection has."""
+        return sum(len(channel.consumers) for channel in self._channels.values())
+
+    def _reserve_consumer(self, method: commands.Basic.Consume) -> None:
+        """Reserve the memory for one more consumer.
+
+        Raises:
+            AmqpError: The connection has too many, or there is no memory for it.
+        """
+        count = 1 + self._consumer_count()
+        if count > MAX_CONSUMERS:
+            raise AmqpError(ReplyCode.RESOURCE_ERROR, f"more than {MAX_CONSUMERS} consumers", method)
+        if not self._memory.reserve(MemoryUse.CONSUMERS, count * CONSUMER_BYTES):
+            raise AmqpError(ReplyCode.RESOURCE_ERROR, "no room for another consumer", method)
+
     def _cancel(self, channel: Channel, method: commands.Basic.Cancel) -> None:
         channel.cancel(method.consumer_tag or "")
+        self._memory.reserve(MemoryUse.CONSUMERS, self._consumer_count() * CONSUMER_BYTES)
         if not method.nowait:
             self._writer.send(channel.number, commands.Basic.CancelOk(method.consumer_tag))
 
--- a/pinspread/amqp/frame_writer.py
+++ b/pinspread/amqp/frame_writer.py
@@ -8,6 +8,8 @@
 from pinspread.core.log import log
 
 MAX_UNSENT_BYTES = 4 << 20  # queued for a client that does not read; above this its connection is closed
+PAUSE_BYTES = 1 << 16  # queued bytes above which no more requests of the client are handled
+PAUSE_TIMEOUT_S = 30.0  # for a client that sends requests to read their answers
 
 
 class FrameWriter:
@@ -20,7 +22,26 @@
     def __init__(self, stream: FrameStream) -> None:
         self._stream = stream
         self._unsent = bytearray()
+        self._writing = 0  # bytes that were taken from the queue and are not written yet
         self._wake = anyio.Event()
+        self._written = anyio.Event()
+
+    @property
+    def queued_bytes(self) -> int:
+        """How many bytes are held for the client."""
+        return len(self._unsent) + self._writing
+
+    async def wait_until_read(self) -> None:
+        """Wait until the client has read what it was sent, up to `PAUSE_BYTES`.
+
+        Without this wait, the answers to a client that only sends would take up ever more memory.
+
+        Raises:
+            TimeoutError: The client does not read.
+        """
+        with anyio.fail_after(PAUSE_TIMEOUT_S):
+            while self.queued_bytes > PAUSE_BYTES:
+                await self._written.wait()
 
     def send(self, channel: int, method: base.Frame) -> None:
         """Queue a method."""
@@ -46,11 +67,18 @@
             await self._wake.wait()
             self._wake = anyio.Event()
             while self._unsent:
-                await self._stream.write(self._take())
+                await self.flush()
 
     async def flush(self) -> None:
-        """Write the frames queued so far, before the Close of the connection."""
-        await self._stream.write(self._take())
+        """Write the frames queued so far."""
+        data = self._take()
+        self._writing += len(data)
+        try:
+            await self._stream.write(data)
+        finally:
+            self._writing -= len(data)
+            self._written.set()
+            self._written = anyio.Event()
 
     def _take(self) -> bytes:
         """Empty the queue and return its bytes, which the caller must write.
--- a/pinspread/amqp/result_queue.py
+++ b/pinspread/amqp/result_queue.py
@@ -72,7 +72,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self.waiting: OrderedDict[PendingResult, None] = OrderedDict()
-        self.consumers: list[ResultConsumer] = []
+        self.consumers: OrderedDict[ResultConsumer, None] = OrderedDict()
 
     def put(self, pending: PendingResult) -> None:
         """Add a result at the end."""
@@ -89,12 +89,12 @@
 
     def add_consumer(self, consumer: ResultConsumer) -> None:
         """Add a consumer, and deliver to it from now on."""
-        self.consumers.append(consumer)
+        self.consumers[consumer] = None
         self.dispatch()
 
     def remove_consumer(self, consumer: ResultConsumer) -> None:
         """Remove a consumer; its unacknowledged results are not requeued by this."""
-        self.consumers.remove(consumer)
+        del self.consumers[consumer]
 
     def dispatch(self) -> None:
         """Deliver results to the consumers in turn, as long as one of them has capacity."""
@@ -102,8 +102,7 @@
             consumer = next((candidate for candidate in self.consumers if candidate.has_capacity()), None)
             if consumer is None:
                 return
-            self.consumers.remove(consumer)
-            self.consumers.append(consumer)
+            self.consumers.move_to_end(consumer)
             pending, _ = self.waiting.popitem(last=False)
             consumer.deliver(pending)
 
--- a/pinspread/amqp/session.py
+++ b/pinspread/amqp/session.py
@@ -18,7 +18,7 @@
 from pinspread.amqp.frames import FRAME_MAX, MIN_FRAME_MAX, PROTOCOL_HEADER, Payload
 from pinspread.amqp.publishing import FRONT_NAME, Publisher
 from pinspread.amqp.result_queue import ResultQueueRegistry
-from pinspread.amqp.session_memory import MemoryUse, SessionMemory
+from pinspread.amqp.session_memory import CHANNEL_BYTES, MemoryUse, SessionMemory
 from pinspread.core.engine import DeliveryEngine
 from pinspread.core.log import log
 from pinspread.sockets import ClientConnection, Connection, ConnectionLimiter
@@ -28,6 +28,7 @@
 HANDSHAKE_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0  # for a client to answer Connection.Close
 FRAMES_PER_TURN = 32  # that one session handles before it yields to the others
+ERROR_PAUSE_S = 0.02  # before the next frame is handled, after an error that closed a channel
 VIRTUAL_HOST = "/"
 MECHANISMS = "PLAIN ANONYMOUS"
 LOCALE = "en_US"
@@ -84,7 +85,9 @@
         self.closing = False
         self._end_requested = False
         self._publisher = Publisher(services.engine, self._writer, self._channels)
-        self._methods = ChannelMethods(self._publisher, services.queues, self._writer, self._channels)
+        self._methods = ChannelMethods(
+            self._publisher, services.queues, self._writer, self._channels, self._memory
+        )
 
     async def run(self) -> None:
         """Serve the connection to its end."""
@@ -203,21 +206,29 @@
                 if not handled % FRAMES_PER_TURN:
                     # Otherwise a client that sends without a pause would keep the event loop to itself.
                     await anyio.lowlevel.checkpoint()
+                await self._writer.wait_until_read()
                 number, payload = await self._read_frame()
                 if number == CONNECTION_CHANNEL:
                     if not await self._handle_on_connection(payload):
                         return
-                elif not self.closing:
-                    self._handle_on_channel(number, payload)
-                if self._in_content():
-                    self._note_incomplete()
-                else:
-                    self._note_complete()
-                if self._end_requested:
-                    self._announce_if_answered()
+                elif not self.closing and not self._handle_on_channel(number, payload):
+                    # A client that repeats the error as soon as it is told would fill the log.
+                    await anyio.sleep(ERROR_PAUSE_S)
+                self._note_frame()
         except AmqpError as error:
             await self._close(error)
 
+    def _note_frame(self) -> None:
+        """Update what depends on the frames handled so far, after each."""
+        if self._in_content():
+            self._note_incomplete()
+        else:
+            self._note_complete()
+        self._memory.reserve(MemoryUse.ANSWERS, self._writer.queued_bytes)
+        self._memory.reserve(MemoryUse.CHANNELS, len(self._channels) * CHANNEL_BYTES)
+        if self._end_requested:
+            self._announce_if_answered()
+
     async def _read_frame(self) -> tuple[int, Payload]:
         try:
             return await self._stream.read_frame()
@@ -247,9 +258,12 @@
             return False
         raise AmqpError(ReplyCode.COMMAND_INVALID, "not a method of channel 0", payload)
 
-    def _handle_on_channel(self, number: int, payload: Payload) -> None:
+    def _handle_on_channel(self, number: int, payload: Payload) -> bool:
         """Handle a frame of a channel, and close the channel on an error that concerns only it.
 
+        Returns:
+            Whether there was no such error.
+
         Raises:
             AmqpError: The whole connection is to be closed.
         """
@@ -260,6 +274,8 @@
                 raise
             _log_malformed(error)
             self._close_channel(self._channels[number], error)
+            return False
+        return True
 
     def _dispatch(self, number: int, payload: Payload) -> None:
         if isinstance(payload, commands.Channel.Open):
@@ -276,6 +292,8 @@
     def _open_channel(self, number: int, method: commands.Channel.Open) -> None:
         if number in self._channels or number > CHANNEL_MAX:
             raise AmqpError(ReplyCode.CHANNEL_ERROR, f"channel {number} cannot be opened", method)
+        if not self._memory.reserve(MemoryUse.CHANNELS, (1 + len(self._channels)) * CHANNEL_BYTES):
+            raise AmqpError(ReplyCode.RESOURCE_ERROR, "no room for another channel", method)
         self._channels[number] = Channel(number, self._writer)
         self._writer.send(number, commands.Channel.OpenOk())
 
--- a/pinspread/amqp/session_memory.py
+++ b/pinspread/amqp/session_memory.py
@@ -4,12 +4,18 @@
 
 from pinspread.sockets import ClientConnection, ConnectionLimiter
 
+CHANNEL_BYTES = 2048  # what an open channel takes
+CONSUMER_BYTES = 2048  # what a consumer takes, with its names and its queue
+
 
 class MemoryUse(Enum):
     """What a session holds memory for."""
 
     READ_BUFFER = 0
     CONTENTS = 1  # incomplete bodies of publishes
+    CHANNELS = 2
+    CONSUMERS = 3
+    ANSWERS = 4  # that the client has not read
 
 
 class SessionMemory:
