Accept nothing from a client that has left, though its requests are still unread

Cause: the check before each command looked at the next byte, and an end or reset shows there only behind all bytes before it; the AMQP front did not look. Ruled out: the session's own buffer alone, for what lay unread in the kernel was sent on too.

Change: Connection.peer_has_left asks the kernel for the state of the connection; both fronts ask before each message.

--- a/pinspread/amqp/publishing.py
+++ b/pinspread/amqp/publishing.py
@@ -24,6 +24,7 @@
 from pinspread.core.messages import Message
 from pinspread.core.time_units import NS_PER_MS, US_PER_MS
 from pinspread.errors import RejectedError
+from pinspread.sockets import Connection
 
 FRONT_NAME = "amqp"  # the name of this front in the journal and the log
 KEY_BYTES = 8
@@ -102,6 +103,7 @@
 
     Args:
         engine: Accepts the messages.
+        connection: The connection.
         writer: Queues the confirms for writing.
         channels: The open channels of the connection, by their numbers.
 
@@ -109,9 +111,16 @@
         unconfirmed: How many accepted messages wait for their replicas before they are confirmed.
     """
 
-    def __init__(self, engine: DeliveryEngine, writer: FrameWriter, channels: Mapping[int, Channel]) -> None:
+    def __init__(
+        self,
+        engine: DeliveryEngine,
+        connection: Connection,
+        writer: FrameWriter,
+        channels: Mapping[int, Channel],
+    ) -> None:
         self.unconfirmed = 0
         self._engine = engine
+        self._connection = connection
         self._writer = writer
         self._channels = channels
 
@@ -134,13 +143,20 @@
         channel.published += 1
         tag = channel.published
         try:
-            self._engine.accept(read_message(self._engine, method, properties, body))
+            self._accept(read_message(self._engine, method, properties, body))
         except RejectedError as error:
             log("rejected", front=FRONT_NAME, reason=str(error))
             self._reject(channel, tag, ReceivedMethod(method, properties, body), error.retry_after_ms)
         else:
             self._confirm(channel, tag)
 
+    def _accept(self, message: Message) -> None:
+        if self._connection.peer_has_left():
+            # A publisher that cannot get the confirm publishes again. Accepted here as well, the message
+            # would be delivered twice once its id is forgotten.
+            raise RejectedError(0, "the client connection has been closed")
+        self._engine.accept(message)
+
     def _reject(self, channel: Channel, tag: int, publish: ReceivedMethod, retry_after_ms: int) -> None:
         """Return a message with the wait before it may be published again, and send a nack."""
         method, properties, body = publish
--- a/pinspread/amqp/session.py
+++ b/pinspread/amqp/session.py
@@ -84,7 +84,7 @@
         self._channels: dict[int, Channel] = {}
         self.closing = False
         self._end_requested = False
-        self._publisher = Publisher(services.engine, self._writer, self._channels)
+        self._publisher = Publisher(services.engine, connection, self._writer, self._channels)
         self._methods = ChannelMethods(
             self._publisher, services.queues, self._writer, self._channels, self._memory
         )
--- a/pinspread/resp/commands.py
+++ b/pinspread/resp/commands.py
@@ -111,9 +111,10 @@
         unknown = engine.unknown_reason(options.class_name, options.tenant, options.destination)
         if unknown:
             raise CommandError(unknown)
-        if connection.is_finished():
-            # A client that no longer waits for the reply submits the message again under another id. Accepted
-            # here as well, it would be delivered twice.
+        if connection.peer_has_left():
+            # A client that no longer waits for the reply submits the message again, maybe under another id.
+            # Accepted here as well, it would be delivered twice. That holds for all commands that it wrote
+            # before it left and that were not read by then.
             raise RejectedError(0, "the client connection has been closed")
         engine.accept(
             Message(
--- a/pinspread/sockets/connection.py
+++ b/pinspread/sockets/connection.py
@@ -18,6 +18,9 @@
 READ_SIZE = 1 << 16  # maximum bytes of one read
 SHOWN_BYTES = 64  # unread bytes that the log shows
 LINGER_S = 3.0  # how long `linger` waits for the peer to end its stream
+# States of TCP (RFC 9293, by the kernel's numbers) in which the peer has not ended its stream.
+ESTABLISHED, FIN_WAIT_1, FIN_WAIT_2 = 1, 4, 5
+OPEN_STATES = (ESTABLISHED, FIN_WAIT_1, FIN_WAIT_2)
 
 _Received = TypeVar("_Received", int, bytes)
 _discarded = memoryview(bytearray(READ_SIZE))  # receives the bytes that `linger` discards
@@ -173,6 +176,17 @@
         except OSError:
             return True
 
+    def peer_has_left(self) -> bool:
+        """Return whether the peer has ended its stream or reset the connection, though bytes may be unread.
+
+        A read shows the end only behind all bytes that arrived before it.
+        """
+        try:
+            state = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+        except OSError:
+            state = b""  # not offered here
+        return self.is_finished() or bool(state and state[0] not in OPEN_STATES)
+
     def send_eof(self) -> None:
         """End the outgoing stream; what the peer still sends can be read as before."""
         self.finished = True
