Take an id that stands for another destination as another endpoint

Cause: the policy kept an endpoint's first destination and went on to send there; the check before the write refused each attempt, and each refusal allowed one more. The registry changed its object under calls in flight, so that a Retry-After went to the new destination.

Change: another destination makes another endpoint, in policy and registry.

--- a/pinspread/core/endpoint_registry.py
+++ b/pinspread/core/endpoint_registry.py
@@ -76,11 +76,11 @@
         # An attempt that is being connected refers to the object that it started with. If each list replaced
         # the object, the attempt's one would miss all changes after the next, and the check right before the
         # write would not see that the endpoint is draining or blocked.
-        if known is not None and known.same_address_as(endpoint):
+        if known is not None and known.is_same_as(endpoint):
             known.update_from(endpoint)
             endpoint = known
         elif known is not None:
-            known.usable = False  # the endpoint now has another address or route
+            known.usable = False  # calls to what the id stood for until now are refused
             if known.scheme != endpoint.scheme:
                 self._forget(known)
         self.endpoints[endpoint.id] = endpoint
--- a/pinspread/core/journal_records.py
+++ b/pinspread/core/journal_records.py
@@ -118,6 +118,9 @@
 _FINAL_RESULT = struct.Struct("<BQBI")  # state, Retry-After for the client in milliseconds
 _PROGRESS = struct.Struct("<BQBQQ")  # attempts, times of the first that may have run and of that in flight
 _ZONE = struct.Struct("<BQB")  # zone
+MAX_RECORDED_ATTEMPT = (
+    255  # numbers above, of a message whose attempts were refused unwritten, are stored as this
+)
 
 HEADER_BYTES = _HEADER.size
 MAX_PAYLOAD_BYTES = 1 << 20
@@ -197,12 +200,16 @@
 
 def encode_attempt_started(message: Message, attempt: int, unix_us: int) -> bytes:
     """Return the record of an attempt that is about to be written to its connection."""
-    return frame(_ATTEMPT_STARTED.pack(RecordKind.ATTEMPT_STARTED, message.number, attempt, unix_us))
+    stored_attempt = min(attempt, MAX_RECORDED_ATTEMPT)
+    record = _ATTEMPT_STARTED.pack(RecordKind.ATTEMPT_STARTED, message.number, stored_attempt, unix_us)
+    return frame(record)
 
 
 def encode_attempt_ended(message: Message, attempt: int, may_have_run: bool) -> bytes:
     """Return the record of an attempt that was written and has ended, while its message has not."""
-    return frame(_ATTEMPT_ENDED.pack(RecordKind.ATTEMPT_ENDED, message.number, attempt, may_have_run))
+    stored_attempt = min(attempt, MAX_RECORDED_ATTEMPT)
+    record = _ATTEMPT_ENDED.pack(RecordKind.ATTEMPT_ENDED, message.number, stored_attempt, may_have_run)
+    return frame(record)
 
 
 def encode_final_result(message: Message, result: FinalResult) -> bytes:
@@ -221,7 +228,7 @@
     progress = _PROGRESS.pack(
         RecordKind.PROGRESS,
         message.number,
-        message.attempts,
+        min(message.attempts, MAX_RECORDED_ATTEMPT),
         message.may_have_run_unix_us,
         message.in_flight_since_unix_us,
     )
--- a/pinspread/core/messages.py
+++ b/pinspread/core/messages.py
@@ -111,9 +111,10 @@
     kind: int = 0
     listed: EndpointState = EndpointState.READY
 
-    def same_address_as(self, other: "Endpoint") -> bool:
-        """Return whether the other has the same scheme, address and route."""
-        return (self.scheme, self.address, self.route) == (other.scheme, other.address, other.route)
+    def is_same_as(self, other: "Endpoint") -> bool:
+        """Return whether the other, of the same id, has the same scheme, address, route and destination."""
+        same_target = (self.scheme, self.address, self.route) == (other.scheme, other.address, other.route)
+        return same_target and self.destination == other.destination
 
     def update_from(self, other: "Endpoint") -> None:
         """Copy all fields from the other, which a newer list contained."""
--- a/pinspread/policy/discovery.py
+++ b/pinspread/policy/discovery.py
@@ -34,7 +34,11 @@
             for endpoint in self.endpoints.values():
                 endpoint.mark_removed(now_ns)
         for entry in event.entries:
-            if known := self.endpoints.get(entry.endpoint):
+            known = self.endpoints.get(entry.endpoint)
+            if known and known.destination.number != entry.destination:
+                self._drop(known)
+                known = None
+            if known:
                 known.update(entry, now_ns)
                 if entry.cold:
                     self.limits.start_ramp(known, now_ns)
@@ -51,6 +55,11 @@
         limiter.rate = limiter.rate or self.limits.max_rate(endpoint) % NEVER  # NEVER: no bound, rate 0
         self.endpoints[entry.endpoint] = destination.endpoints[entry.endpoint] = endpoint
 
+    def _drop(self, endpoint: TrackedEndpoint) -> None:
+        """Drop the record of an endpoint whose id now stands for one of another destination."""
+        endpoint.mark_removed(self.context.now_ns)  # its calls in flight still refer to it
+        del self.endpoints[endpoint.id], endpoint.destination.endpoints[endpoint.id]
+
     def _forget_removed(self) -> None:
         """Drop old records; else each event would go over all endpoints that were ever listed."""
         now_ns = self.context.now_ns
--- a/tests/test_endpoint_identity.py
+++ b/tests/test_endpoint_identity.py
@@ -4,7 +4,8 @@
 
 import pytest
 from discovery_stand_in import DiscoveryStandIn, list_line, watched
-from standins import Client, HttpStandIn, host, running_courier, serve_on_loopback, wait_until
+from platform_helpers import delayed_reply, scripted
+from standins import Client, DialGate, HttpStandIn, host, running_courier, serve_on_loopback, wait_until
 
 from pinspread.core.messages import Endpoint
 from pinspread.discovery import departures, ready_endpoints
@@ -135,3 +136,37 @@
     stored = ReadyEndpoints(tmp_path, 3_000_000)
     endpoint = Endpoint("s-1", "127.0.0.1:9", 1)
     assert stored.confirmed([(endpoint, EndpointState.READY)]) == [(endpoint, EndpointState.REMOVED)]
+
+
+async def test_a_call_that_is_dialled_while_its_endpoint_changes_destination_is_not_written(
+    tmp_path, monkeypatch
+):
+    """Guards against a message at another destination's endpoint, and attempts for it without an end."""
+    endpoint = HttpStandIn()
+    async with (
+        serve_on_loopback(endpoint) as address,
+        running_courier(tmp_path, endpoints=[(address,)]) as courier,
+    ):
+        gate = DialGate(monkeypatch)
+        await Client(courier.address).enqueue("payment", for_ms=600)
+        await wait_until(lambda: gate.waiting)
+        (message,) = courier.engine.open_messages.values()
+        courier.update_endpoints(address, dest=2)
+        gate.open.set()
+        await wait_until(lambda: not courier.engine.open_messages)
+        assert not endpoint.requests and message.attempts == 1
+
+
+async def test_a_retry_after_holds_back_the_destination_that_was_called(tmp_path):
+    """Guards against a wait for a destination that never asked for it, and none for the one that did."""
+    refusal = delayed_reply(0.2, (429, [("Retry-After", "2")], b""))
+    endpoint = scripted(refusal)
+    async with (
+        serve_on_loopback(endpoint) as address,
+        running_courier(tmp_path, endpoints=[(address,)]) as courier,
+    ):
+        await Client(courier.address).enqueue("payment", for_ms=5000)
+        await wait_until(lambda: endpoint.requests)
+        courier.update_endpoints(address, dest=2)
+        await wait_until(lambda: courier.engine.retry_after_until_us)
+        assert list(courier.engine.retry_after_until_us) == [1]
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -142,3 +142,19 @@
     journal._rewrite()
     journal.close()
     assert open_journal(tmp_path)[1][0].rules == message.rules
+
+
+def test_hundreds_of_attempts_that_were_never_written_keep_no_record_from_the_file(tmp_path):
+    """Guards against a journal that cannot be written any more, and a process that ends by it."""
+    journal, _ = open_journal(tmp_path)
+    message = make_message(1, attempts=300)
+    journal.message_accepted(message)
+    journal.attempt_started(message, 299, 111)
+    journal.begin()
+    journal.attempt_ended(message, 299, True)
+    journal.attempt_started(message, 300, 222)
+    journal.begin()
+    journal.close()
+    _, (recovered,) = open_journal(tmp_path)
+    assert (recovered.may_have_run_unix_us, recovered.in_flight_since_unix_us) == (111, 222)
+    assert recovered.attempts >= 255
--- a/tests/test_policy_discovery.py
+++ b/tests/test_policy_discovery.py
@@ -5,7 +5,7 @@
 
 from pinspread.policy.actions import Reject, Subscribe
 from pinspread.policy.delivery_policy import DeliveryPolicy
-from pinspread.policy.events import EndpointEntry, EndpointsChanged, EndpointState, UpdateScope
+from pinspread.policy.events import EndpointEntry, EndpointsChanged, EndpointState, Outcome, UpdateScope
 from pinspread.policy.state import MS, SECOND
 
 pytestmark = pytest.mark.usefixtures("policy_shape")
@@ -83,3 +83,28 @@
     listed("b", EndpointState.READY, after=SECOND)  # listed again before its record is dropped
     listed("c", EndpointState.READY, after=kept)
     assert list(known) == ["b", "c"]
+
+
+def test_an_id_that_stands_for_an_endpoint_of_another_destination_is_another_endpoint():
+    """Guards against messages that are tried at an endpoint of another destination, without an end."""
+    driver = PolicyDriver([("a", 1), ("b", 1)])
+    first = driver.sent(driver.accept(count=2))
+    assert first == [1, 2]
+    driver.turn(EndpointsChanged(UpdateScope.DELTA, [EndpointEntry(name, 2) for name in ("a", "b")]))
+    assert driver.accept() == []  # destination 1 has no endpoint now
+    assert driver.sent(driver.accept(destination=2)) == [4]
+    for request in first:  # calls that were in flight at the change end as any other
+        driver.complete(request)
+    driver.complete(4)
+    assert not driver.sender.dispatcher.calls_in_flight and not driver.first_destination.endpoints
+    driver.turn(EndpointsChanged(UpdateScope.DELTA, driver.listed))  # back to destination 1
+    assert driver.attempts[3][1] in ("a", "b")
+
+
+def test_what_was_learned_of_one_destination_is_not_taken_for_the_other():
+    """Guards against an endpoint that is held back for refusals of the destination that it belonged to."""
+    driver = PolicyDriver([("a", 1)])
+    driver.accept()
+    driver.complete(1, Outcome.OVERLOADED, retry_after_ns=2 * SECOND)
+    driver.turn(EndpointsChanged(UpdateScope.DELTA, [EndpointEntry("a", 2)]))
+    assert driver.sent(driver.accept(destination=2)) == [2]
