Follow a watch from its first complete line on, however slowly it writes

Cause: a watch replaced the one before it as soon as its response began, and counted as silent when its first line was not complete within 1 s, so that each ended the one before in the middle of a line. Ruled out: the response, which began at once.

Change: a watch takes over with its first complete line. Until then it is read beside the others, at most four; without a byte for 2 s, or a line for 10 s, it ends. A complete line of the watch that is followed ends those that have none.

--- a/pinspread/discovery/client.py
+++ b/pinspread/discovery/client.py
@@ -31,12 +31,17 @@
 # another watch must be up by then. Discovery sends an empty line every 2 s. These time-outs leave time for a
 # second watch that is silent as well.
 LINE_TIMEOUT_S = 2.8  # a watch without a complete line for this time is silent
-FIRST_LINE_TIMEOUT_S = 1.0  # the same for the first line, which is sent at once
+FIRST_LINE_TIMEOUT_S = 1.0  # until the first line, which is sent at once; then another watch is opened beside
+STARTING_IDLE_TIMEOUT_S = (
+    2.0  # a watch that sends nothing for this time before its first line is complete ends
+)
+STARTING_TIMEOUT_S = 10.0  # a watch whose first line is not complete after this time ends, though it sends
 RESPONSE_TIMEOUT_S = 1.2  # until the response begins, if each instance has a discovery agent of its own
 SHARED_RESPONSE_TIMEOUT_S = 5.0  # the same if all share one service, which handles requests in turn
 SHARED_SPREAD_S = 1.5  # with a shared service, many silent watches are opened again spread over this time
 OPEN_INTERVAL_S = 0.3  # between watches that are opened while an agent is silent
 MAX_OPENING = 4  # watches that wait for their responses at the same time
+MAX_STARTING = 4  # watches that wait for the rest of their first line at the same time
 MAX_LOGGED_FAILURES = 3  # failures in a row that are logged
 
 
@@ -97,6 +102,7 @@
         self._current: Watch | None = None  # the watch whose changes are applied
         self._last_address = ""  # the address of the last watch whose response began
         self._opening: list[Watch] = []  # watches whose response has not begun
+        self._starting: list[Watch] = []  # watches whose response has begun, but not sent a complete line
         self._next_open_us = 0  # earliest time of the next watch
         self._wake = anyio.Event()
         self._departed = DepartedEndpoints(settings.state, settings.disk_bytes)
@@ -157,16 +163,21 @@
 
     def _request_full(self) -> None:
         self._full_requested, self._failures, self._next_open_us = True, 0, 0
-        opening, self._opening = self._opening, []
-        for watch in opening:
-            watch.scope.cancel()
+        self._end_unproven()
         self._wake.set()
 
+    def _end_unproven(self) -> None:
+        """End all watches that have not sent a complete line."""
+        unproven = self._opening + self._starting
+        self._opening, self._starting = [], []
+        for watch in unproven:
+            watch.scope.cancel()
+
     # --- opening watches -----------------------------------------------------------------------------
 
     async def run(self) -> None:
         """Keep a watch open until cancelled."""
-        self._current, self._opening, self._next_open_us = None, [], 0
+        self._current, self._opening, self._starting, self._next_open_us = None, [], [], 0
         async with anyio.create_task_group() as tasks:
             while True:
                 wait_us = self._wait_us()
@@ -189,6 +200,11 @@
         sufficient = watch is not None and watch.address == self.address and not self._full_requested
         if watch is not None and sufficient and now_us < watch.silent_at_us:
             return watch.silent_at_us - now_us
+        starting = [other.began_us for other in self._starting if other.address == self.address]
+        if len(starting) >= MAX_STARTING:
+            return US_PER_S  # the end of one of them ends this wait early
+        if starting and now_us < (slow_at_us := max(starting) + int(FIRST_LINE_TIMEOUT_S * US_PER_S)):
+            return slow_at_us - now_us
         max_opening = len({self.address, self._last_address} - {""}) if self._shared else MAX_OPENING
         if len(self._opening) >= max_opening:
             return US_PER_S  # the end of an opening watch ends this wait early
@@ -200,7 +216,8 @@
         An agent that was silent and recovers may answer pending requests, or only later ones. Opening several
         watches in parallel covers both cases; the current watch is followed until one of them responds.
         """
-        if self._current and not self._full_requested and not self._opening and not self._failures:
+        unproven = self._opening or self._starting
+        if self._current and not self._full_requested and not unproven and not self._failures:
             log("watch_broke", address=self._current.address, error="silent")
         self._next_open_us = self.engine.clock.now() + int(OPEN_INTERVAL_S * US_PER_S)
         addresses = {self.address}
@@ -219,8 +236,9 @@
                 await self._run_watch(watch)
             except (OSError, ValueError) as error:
                 self._schedule_after_failure(watch, error)
-        if watch in self._opening:
-            self._opening.remove(watch)
+        for watches in (self._opening, self._starting):
+            if watch in watches:
+                watches.remove(watch)
         if watch is self._current:
             self._current = None
         self._wake.set()
@@ -233,7 +251,7 @@
             log("watch_broke", address=watch.address, error=str(error) or type(error).__name__)
         self.first_answer.set()
         own_agent = not self._shared  # requests to it do not slow down other instances
-        if own_agent and isinstance(error, TimeoutError):
+        if (own_agent or watch.up) and isinstance(error, TimeoutError):
             self._failures += 1
             return  # `run` has opened the next watch already
         # With an agent of its own, an instance opens the next watch soon after one that had responded, or
@@ -245,17 +263,20 @@
         self._failures += 1
 
     def _promote(self, watch: Watch) -> None:
-        """Follow a watch whose response has begun, and end the watches that it replaces.
+        """Follow a watch that has sent a complete line, and end the watches that it replaces.
 
-        The old watch is ended only now: if it were closed earlier, drains would go unnoticed in between.
+        The old watch is ended only now: if it were closed earlier, drains would go unnoticed in between. That
+        the response has begun is not enough: a discovery service that is slow may need longer for the line
+        than another watch is waited for, and each would end the one before it.
         """
-        watch.up = True
-        self._opening.remove(watch)
+        self._starting.remove(watch)
         moved = watch.address != self.address
-        replaced = self._opening if not moved else [w for w in self._opening if w.address == watch.address]
+        unproven = self._opening + self._starting
+        replaced = [other for other in unproven if not moved or other.address == watch.address]
         for other in [*replaced, *([self._current] if self._current else ())]:
             other.scope.cancel()
-        self._opening = [w for w in self._opening if w not in replaced]
+        self._opening = [other for other in self._opening if other not in replaced]
+        self._starting = [other for other in self._starting if other not in replaced]
         self._current = watch
         if not moved:
             self._last_address, self._failures = watch.address, 0
@@ -269,22 +290,39 @@
             exchange = await watch.request(lambda: self.sequence, timeout_s)
             if watch not in self._opening or (self._current and watch.address != self.address):
                 return  # another watch has responded, or the address of discovery has changed
-            self._promote(watch)
+            self._opening.remove(watch)
+            self._starting.append(watch)
+            watch.up, watch.began_us = True, self.engine.clock.now()
             await self._read_updates(watch, exchange)
         finally:
             watch.close()
 
+    async def _read_data(self, watch: Watch, exchange: Exchange) -> bytes | None:
+        """Read from a watch; until its first line is complete, only for a limited time.
+
+        Raises:
+            TimeoutError: The watch has not sent its first line in time.
+        """
+        if watch not in self._starting:
+            return await exchange.read_data()
+        elapsed_s = (self.engine.clock.now() - watch.began_us) / US_PER_S
+        with anyio.fail_after(min(STARTING_IDLE_TIMEOUT_S, max(0.0, STARTING_TIMEOUT_S - elapsed_s))):
+            return await exchange.read_data()
+
     async def _read_updates(self, watch: Watch, exchange: Exchange) -> None:
         reader = LineReader()
         latest = 0  # the highest version that this watch has reported
-        self._expect_line(watch, FIRST_LINE_TIMEOUT_S)
         while True:
-            data = await exchange.read_data()
-            if watch is not self._current:
+            data = await self._read_data(watch, exchange)
+            if watch is not self._current and watch not in self._starting:
                 return  # later data of a replaced watch would undo the newer one's list
             if data is None:
                 raise ConnectionResetError("discovery ended the response of the watch")
             for value in reader.feed(data):
+                if watch in self._starting:
+                    self._promote(watch)
+                elif watch.address == self.address and not self._full_requested:
+                    self._end_unproven()  # this one was late, not silent
                 if value is not None:
                     update = parse_update(value)
                     if update.sequence < latest:
--- a/pinspread/discovery/watch.py
+++ b/pinspread/discovery/watch.py
@@ -18,18 +18,20 @@
     Attributes:
         scope: The cancel scope of the watch; cancelling it ends the watch.
         up: The response has begun.
+        began_us: When it began, in microseconds on the monotonic clock.
         silent_at_us: When the watch counts as silent unless a line arrives before, in microseconds on the
             monotonic clock.
         connection: The connection, once it is open.
     """
 
-    __slots__ = ("address", "connection", "full", "scope", "silent_at_us", "up")
+    __slots__ = ("address", "began_us", "connection", "full", "scope", "silent_at_us", "up")
 
     def __init__(self, address: str, full: bool) -> None:
         self.address = address
         self.full = full
         self.scope = anyio.CancelScope()
         self.up = False
+        self.began_us = 0
         self.silent_at_us = 0
         self.connection: Connection | None = None
 
