Ask by poll whether a client has left, not for the state of its TCP connection

Need: the state of TCP that reads belongs to the kernel's sockets. Where sockets are led elsewhere, as by a preloaded library, it may say closed for a connection that is open, and each message would be refused.

Change: the connection is polled for POLLRDHUP, besides which poll reports resets and errors; where it reports none of them, only the end that a read shows counts, as before.

--- a/pinspread/sockets/connection.py
+++ b/pinspread/sockets/connection.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import errno
+import select
 import socket
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
@@ -18,9 +19,6 @@
 READ_SIZE = 1 << 16  # maximum bytes of one read
 SHOWN_BYTES = 64  # unread bytes that the log shows
 LINGER_S = 3.0  # how long `linger` waits for the peer to end its stream
-# States of TCP (RFC 9293, by the kernel's numbers) in which the peer has not ended its stream.
-ESTABLISHED, FIN_WAIT_1, FIN_WAIT_2 = 1, 4, 5
-OPEN_STATES = (ESTABLISHED, FIN_WAIT_1, FIN_WAIT_2)
 
 _Received = TypeVar("_Received", int, bytes)
 _discarded = memoryview(bytearray(READ_SIZE))  # receives the bytes that `linger` discards
@@ -181,11 +179,12 @@
 
         A read shows the end only behind all bytes that arrived before it.
         """
-        try:
-            state = self.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-        except OSError:
-            state = b""  # not offered here
-        return self.is_finished() or bool(state and state[0] not in OPEN_STATES)
+        if self.sock.fileno() < 0:
+            return True  # closed here
+        poll = select.poll()
+        poll.register(self.sock, select.POLLRDHUP)
+        # Besides the end of the stream, poll always reports a reset and an error.
+        return bool(poll.poll(0)) or self.is_finished()
 
     def send_eof(self) -> None:
         """End the outgoing stream; what the peer still sends can be read as before."""
