End the connection of a publish that times out before its message goes again

Cause: the time-out ended the attempt here only; missed heartbeats end the connection of a broker that is silent altogether.

Change: where the message may go again, the time-out closes the connection. Payments leave it open, for nothing follows them.

Result: the new test of a hung broker failed before and passes now; the test that a payment's time-out leaves the others their connection passes with both.

--- a/pinspread/amqp/transport.py
+++ b/pinspread/amqp/transport.py
@@ -18,6 +18,7 @@
 from pinspread.core.messages import Attempt, AttemptResult, Endpoint
 from pinspread.core.time_units import US_PER_S
 from pinspread.policy.events import Outcome
+from pinspread.policy.settings import Idempotency
 from pinspread.sockets import dial
 
 HEARTBEAT_S = 10
@@ -60,6 +61,7 @@
     async def send(self, attempt: Attempt) -> AttemptResult:
         """Publish once, and wait for the confirm."""
         confirm = PendingConfirm()
+        broker: BrokerConnection | None = None
         try:
             with anyio.move_on_after(self._seconds_until(attempt.ends_us())):
                 broker = await self._connect(attempt.endpoint)
@@ -68,19 +70,7 @@
         except (OSError, TimeoutError, AmqpError) as error:
             outcome = Outcome.RESET if confirm.written else Outcome.CONNECT_FAILED
             return AttemptResult(outcome, note=str(error))
-        return self._timed_out(attempt, confirm)
-
-    def _timed_out(self, attempt: Attempt, confirm: PendingConfirm) -> AttemptResult:
-        """Return the result of an attempt that has timed out; a result proven by then is kept."""
-        proven = confirm.proven_result()
-        if proven is not None:
-            return proven
-        if confirm.written:
-            return AttemptResult(Outcome.TIMEOUT)
-        broker = self.connections.get(attempt.endpoint.id)
-        if not confirm.started and broker is not None and not broker.closed_reason:
-            return blocked_result()
-        return AttemptResult(Outcome.CONNECT_FAILED, note="not written in time")
+        return _timed_out(attempt, confirm, broker)
 
     async def check_health(self, endpoint: Endpoint, check_before_write: Callable[[], str]) -> AttemptResult:
         """Check whether the connection to a broker is up and not blocked.
@@ -137,3 +127,24 @@
             connection.close()
             raise
         return broker
+
+
+def _timed_out(attempt: Attempt, confirm: PendingConfirm, broker: BrokerConnection | None) -> AttemptResult:
+    """Return the result of an attempt that has timed out; a result proven by then is kept."""
+    proven = confirm.proven_result()
+    if proven is not None:
+        return proven
+    if confirm.written:
+        if broker is not None and _may_go_again(attempt):
+            # The publish is live for as long as its connection is. The next attempt must not be beside it.
+            broker.close("a publish was not confirmed in time")
+        return AttemptResult(Outcome.TIMEOUT)
+    if not confirm.started and broker is not None and not broker.closed_reason:
+        return blocked_result()
+    return AttemptResult(Outcome.CONNECT_FAILED, note="not written in time")
+
+
+def _may_go_again(attempt: Attempt) -> bool:
+    """Return whether the message may be sent again though this attempt may have run."""
+    rules = attempt.message.rules
+    return rules is not None and rules.traffic_class.effect is not Idempotency.NOT_IDEMPOTENT
--- a/tests/test_amqp_broker.py
+++ b/tests/test_amqp_broker.py
@@ -2,11 +2,12 @@
 
 import random
 import socket
+from contextlib import suppress
 
 import anyio
 import pytest
 from application_process import Application
-from pamqp import commands
+from pamqp import commands, heartbeat
 from platform_helpers import acknowledging_platform
 from standins import (
     AmqpClient,
@@ -276,3 +277,49 @@
     assert broker.logins == {"\0u\0s3cret"}
     assert len(accepted) > 200 and len(set(broker.effects)) > 100
     assert len(broker.effects) == len(set(broker.effects))
+
+
+async def test_a_publish_that_is_not_confirmed_in_time_is_over_before_the_message_goes_again(tmp_path):
+    """Guards against two live attempts for one message at a broker that hangs."""
+    live = []  # at each publish of m1: how many connections hold one without a confirm
+
+    def plan(broker, id_):
+        if id_ == "m1":
+            live.append(len(broker.streams))
+        return "wait" if len(live) < 2 else "ack"
+
+    broker = BrokerStandIn(plan)
+
+    async def send_heartbeats():  # the broker is up, it only confirms nothing
+        while True:
+            await anyio.sleep(0.2)
+            for stream in list(broker.streams):
+                with suppress(OSError):
+                    await stream.write(heartbeat.Heartbeat().marshal())
+
+    async with (
+        serve_on_loopback(broker) as address,
+        running_courier(tmp_path, endpoints=[(address, "b", 1, "amqp")]) as courier,
+    ):
+        courier.tasks.start_soon(send_heartbeats)
+        await Client(courier.address).enqueue("status-update", "m1", for_ms=15_000)
+        await wait_until(lambda: broker.effects == ["m1"])
+        (first,) = broker.streams
+        await wait_until(lambda: len(live) == 2, 10)
+        assert first not in broker.streams and live == [1, 1]
+        await wait_until(lambda: not courier.engine.messages_by_id)
+
+
+async def test_a_payment_that_is_not_confirmed_in_time_leaves_the_others_their_connection(tmp_path):
+    """Guards against payments that fail because another one's confirm was late: none of them goes again."""
+    broker = BrokerStandIn(lambda broker, id_: "wait" if id_ == "p1" else "ack")
+    async with (
+        serve_on_loopback(broker) as address,
+        running_courier(tmp_path, endpoints=[(address, "b", 1, "amqp")]) as courier,
+    ):
+        client = Client(courier.address)
+        await client.enqueue("payment", "p1", for_ms=700)
+        await wait_until(lambda: broker.effects == ["p1"])
+        (stream,) = broker.streams
+        await wait_until(lambda: not courier.engine.open_messages)
+        assert broker.streams == {stream}
