Answer a heartbeat on a channel other than 0 with an error

Change: it gets Connection.Close 501, in a content and outside one.

Result: the new test failed in both cases before (an assertion, and 505 outside a content), by the code; it passes now.

--- a/pinspread/amqp/content.py
+++ b/pinspread/amqp/content.py
@@ -56,6 +56,8 @@
         Raises:
             AmqpError: The frame is not allowed at this point, or the body is longer than announced.
         """
+        if isinstance(payload, heartbeat.Heartbeat):
+            raise AmqpError(ReplyCode.FRAME_ERROR, "a heartbeat on a channel other than 0")
         if isinstance(payload, base.Frame):
             return self._feed_method(payload)
         if self.method is None:
@@ -78,11 +80,10 @@
         self._header = content_header
         return self._complete(method, content_header)
 
-    def _feed_body(self, method: base.Frame, data: memoryview | heartbeat.Heartbeat) -> ReceivedMethod | None:
+    def _feed_body(self, method: base.Frame, data: memoryview) -> ReceivedMethod | None:
         content_header = self._header
         if content_header is None:
             raise AmqpError(ReplyCode.UNEXPECTED_FRAME, "a body before its header", method)
-        assert isinstance(data, memoryview)  # heartbeats belong to channel 0
         self._received += len(data)
         if self._received > content_header.body_size:
             raise AmqpError(ReplyCode.FRAME_ERROR, "a body longer than its header says", method)
--- a/tests/test_client_floods.py
+++ b/tests/test_client_floods.py
@@ -7,10 +7,10 @@
 
 import anyio
 import pytest
-from pamqp import commands
+from pamqp import commands, header
 from standins import AmqpClient, Client, marshal, running_courier, wait_until
 
-from pinspread.amqp import frame_writer, session
+from pinspread.amqp import frame_writer, frames, session
 from pinspread.amqp.channel_methods import MAX_CONSUMERS
 from pinspread.amqp.result_queue import FinalResultQueue
 from pinspread.amqp.session_memory import CONSUMER_BYTES
@@ -141,3 +141,16 @@
         assert await Client(courier.address).say("PING") == "+PONG\r\n"
     errors = capfd.readouterr().out.count('"event":"malformed"')
     assert 5 < errors <= 1 / session.ERROR_PAUSE_S + 5
+
+
+@pytest.mark.parametrize("in_content", [True, False])
+async def test_a_heartbeat_on_another_channel_than_0_gets_an_error(tmp_path, in_content):
+    """Guards against a session that ends by an assertion, and a client that is not told why."""
+    async with running_courier(tmp_path) as courier:
+        client = await AmqpClient.open(courier.amqp)
+        if in_content:
+            properties = header.ContentHeader(0, 9, commands.Basic.Properties(message_id="m"))
+            await client.wire.write(marshal(commands.Basic.Publish(0, "", "x")) + marshal(properties))
+        await client.wire.write(frames.FRAME_HEAD.pack(frames.HEARTBEAT, 1, 0) + bytes([frames.FRAME_END]))
+        closed = (await client.next()).method
+        assert (closed.name, closed.reply_code) == ("Connection.Close", 501)
