Have at most a thousand notifications to the platform under way at a time

Cause: each final result had a task of its own, with its events some 8 KB.

Change: on fronts whose client is the platform, 1,000 notifications are under way, which is five requests full; the others wait in turn as their messages alone. Results of AMQP queues keep their tasks, since none may wait for another's.

New tests: all go out in the end, also over a restart, and an AMQP consumer that acknowledges nothing delays no other.

--- a/pinspread/core/notifications.py
+++ b/pinspread/core/notifications.py
@@ -1,11 +1,16 @@
 """Final results: how messages end, and how their clients are notified."""
 
+from collections import deque
+
 import anyio
 
 from pinspread.core.context import POLL_S, EngineContext
 from pinspread.core.log import log
 from pinspread.core.messages import FinalResult, FinalState, Message
 
+# Notifications under way at a time to a platform that gets them in turn, which is several requests full. Each
+# takes some kilobytes, and while the platform acknowledges none, thousands would wait.
+MAX_UNDER_WAY = 1000
 MAX_RECORD_WAIT_US = 100_000  # after a message's deadline; its notification is late after 0.3 s
 
 
@@ -15,10 +20,14 @@
     Attributes:
         pending: The number of unacknowledged notifications of each key, for fronts that order messages by
             acknowledgement.
+        under_way: The number of notifications under way on these fronts, whose clients are notified in turn.
+        waiting: The messages whose notifications follow these, in order.
     """
 
     def __init__(self, context: EngineContext) -> None:
         self.pending: dict[int, int] = {}
+        self.under_way = 0
+        self.waiting: deque[Message] = deque()
         self._context = context
         self._messages = context.messages
 
@@ -52,11 +61,28 @@
 
     def start_all(self) -> None:
         """Notify the clients of all messages that a previous process left with a final result."""
+        self.under_way = 0  # the tasks of an earlier run have ended with it
+        self.waiting.clear()
         for message in self._messages.by_id.values():
             self.start(message)
 
     def _start(self, message: Message, final: FinalResult) -> None:
-        self._context.tasks.start_soon(self._notify, message, final)
+        if not self._context.fronts[message.front].ordered_by_ack:
+            # Each client of these fronts acknowledges its own, and may take long: none waits for another's.
+            self._context.tasks.start_soon(self._notify, message, final)
+        elif self.under_way < MAX_UNDER_WAY:
+            self.under_way += 1
+            self._context.tasks.start_soon(self._notify_in_turn, message, final)
+        else:
+            self.waiting.append(message)
+
+    async def _notify_in_turn(self, message: Message, final: FinalResult) -> None:
+        await self._notify(message, final)
+        self.under_way -= 1
+        while self.waiting and self.under_way < MAX_UNDER_WAY:
+            following = self.waiting.popleft()
+            if following.final is not None and not self._is_released(following):
+                self._start(following, following.final)
 
     def release(self, message: Message) -> None:
         """Stop counting this message's notification as pending, because another node sends it."""
--- a/tests/test_platform_notifications.py
+++ b/tests/test_platform_notifications.py
@@ -3,7 +3,10 @@
 import anyio
 import pytest
 from platform_helpers import ACKNOWLEDGED, delayed_reply, scripted
-from standins import Client, HttpStandIn, running_courier, serve_on_loopback, wait_until
+from standins import AmqpClient, Client, HttpStandIn, running_courier, serve_on_loopback, wait_until
+
+from pinspread.core import notifications
+from pinspread.testbed import clients
 
 pytestmark = pytest.mark.anyio
 
@@ -55,3 +58,48 @@
         await wait_until(lambda: platform.requests)
         await client.enqueue(id_="second", for_ms=150)
         await wait_until(lambda: any(line["id"] == "second" for line in platform.lines), 0.15 + 0.3)
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+async def test_notifications_that_nobody_acknowledges_wait_in_turn_and_all_go_out_later(
+    tmp_path, monkeypatch, restarts
+):
+    """Guards against kilobytes of memory for each result while the platform is away, and lost results."""
+    monkeypatch.setattr(notifications, "MAX_UNDER_WAY", 3)
+    down, up = HttpStandIn(lambda request: (503, [], b"")), HttpStandIn(lambda request: ACKNOWLEDGED)
+    ids = [f"m{number:02}" for number in range(20)]
+    async with (
+        serve_on_loopback(down) as down_address,
+        serve_on_loopback(up) as up_address,
+    ):
+        async with running_courier(tmp_path, down_address) as courier:
+            for number, id_ in enumerate(ids):
+                assert await Client(courier.address).enqueue(id_=id_, for_ms=200 + number) == "+OK\r\n"
+            await wait_until(lambda: not courier.engine.open_messages)
+            under_way = courier.engine.notifications
+            assert (under_way.under_way, len(under_way.waiting)) == (3, len(ids) - 3)
+            if not restarts:
+                courier.engine.fronts["resp"].notifications.change_address(up_address)
+                await wait_until(lambda: not courier.engine.messages_by_id)
+                assert not under_way.under_way and not under_way.waiting
+        if restarts:
+            async with running_courier(tmp_path, up_address) as courier:
+                await wait_until(lambda: not courier.engine.messages_by_id)
+    assert sorted(line["id"] for line in up.lines) == ids
+
+
+async def test_a_consumer_that_acknowledges_nothing_keeps_no_other_from_its_results(tmp_path, monkeypatch):
+    """Guards against results of one AMQP queue that wait for those of another."""
+    monkeypatch.setattr(notifications, "MAX_UNDER_WAY", 2)
+    async with running_courier(tmp_path) as courier:
+        publisher = await AmqpClient.open(courier.amqp)
+        for number in range(6):  # nobody consumes these
+            await publisher.publish(f"m{number}", for_ms=100)
+            await publisher.next()
+        await wait_until(lambda: not courier.engine.open_messages)
+        monkeypatch.setattr(clients, "REPLY_QUEUE", "other")
+        await publisher.publish("consumed", for_ms=100)
+        await publisher.next()
+        consumer = await AmqpClient.open(courier.amqp)
+        await consumer.consume("other")
+        assert (await consumer.next_final())[0]["id"] == "consumed"
