Give the watches of the discovery client, by how far they have come, a module of their own

Change: WatchSet holds the watch that is followed and those that are to take its place; the client decides when. Nothing else changes.

--- a/pinspread/discovery/client.py
+++ b/pinspread/discovery/client.py
@@ -23,6 +23,7 @@
 )
 from pinspread.discovery.ready_endpoints import ReadyEndpoints
 from pinspread.discovery.watch import Watch
+from pinspread.discovery.watch_set import WatchSet
 from pinspread.http.exchange import Exchange
 from pinspread.policy.events import EndpointState, UpdateScope
 from pinspread.policy.settings import Settings
@@ -99,10 +100,8 @@
         self._full_requested = False  # the next watch asks for the full list, not only for changes
         self._failures = 0  # watches in a row that failed before their response began
         self._random = random.Random(settings.seed)
-        self._current: Watch | None = None  # the watch whose changes are applied
+        self._watches = WatchSet()
         self._last_address = ""  # the address of the last watch whose response began
-        self._opening: list[Watch] = []  # watches whose response has not begun
-        self._starting: list[Watch] = []  # watches whose response has begun, but not sent a complete line
         self._next_open_us = 0  # earliest time of the next watch
         self._wake = anyio.Event()
         self._departed = DepartedEndpoints(settings.state, settings.disk_bytes)
@@ -163,21 +162,14 @@
 
     def _request_full(self) -> None:
         self._full_requested, self._failures, self._next_open_us = True, 0, 0
-        self._end_unproven()
+        self._watches.end_unproven()
         self._wake.set()
 
-    def _end_unproven(self) -> None:
-        """End all watches that have not sent a complete line."""
-        unproven = self._opening + self._starting
-        self._opening, self._starting = [], []
-        for watch in unproven:
-            watch.scope.cancel()
-
     # --- opening watches -----------------------------------------------------------------------------
 
     async def run(self) -> None:
         """Keep a watch open until cancelled."""
-        self._current, self._opening, self._starting, self._next_open_us = None, [], [], 0
+        self._watches, self._next_open_us = WatchSet(), 0
         async with anyio.create_task_group() as tasks:
             while True:
                 wait_us = self._wait_us()
@@ -196,17 +188,17 @@
     def _wait_us(self) -> int:
         """Return the time until another watch may be needed, in microseconds."""
         now_us: int = self.engine.clock.now()
-        watch = self._current
+        watch = self._watches.current
         sufficient = watch is not None and watch.address == self.address and not self._full_requested
         if watch is not None and sufficient and now_us < watch.silent_at_us:
             return watch.silent_at_us - now_us
-        starting = [other.began_us for other in self._starting if other.address == self.address]
+        starting = [other.began_us for other in self._watches.starting if other.address == self.address]
         if len(starting) >= MAX_STARTING:
             return US_PER_S  # the end of one of them ends this wait early
         if starting and now_us < (slow_at_us := max(starting) + int(FIRST_LINE_TIMEOUT_S * US_PER_S)):
             return slow_at_us - now_us
         max_opening = len({self.address, self._last_address} - {""}) if self._shared else MAX_OPENING
-        if len(self._opening) >= max_opening:
+        if len(self._watches.opening) >= max_opening:
             return US_PER_S  # the end of an opening watch ends this wait early
         return self._next_open_us - now_us
 
@@ -216,18 +208,18 @@
         An agent that was silent and recovers may answer pending requests, or only later ones. Opening several
         watches in parallel covers both cases; the current watch is followed until one of them responds.
         """
-        unproven = self._opening or self._starting
-        if self._current and not self._full_requested and not unproven and not self._failures:
-            log("watch_broke", address=self._current.address, error="silent")
+        current, is_first = self._watches.current, not self._watches.unproven and not self._failures
+        if current and is_first and not self._full_requested:
+            log("watch_broke", address=current.address, error="silent")
         self._next_open_us = self.engine.clock.now() + int(OPEN_INTERVAL_S * US_PER_S)
         addresses = {self.address}
-        if self._current is None and self._last_address:
+        if current is None and self._last_address:
             # The watch at the old address broke before one at the new address responded. Following the old
             # address is better than following none.
             addresses.add(self._last_address)
         for address in addresses:
             watch = Watch(address, self._full_requested or not self.sequence)
-            self._opening.append(watch)
+            self._watches.opening.append(watch)
             tasks.start_soon(self._follow, watch)
 
     async def _follow(self, watch: Watch) -> None:
@@ -236,11 +228,7 @@
                 await self._run_watch(watch)
             except (OSError, ValueError) as error:
                 self._schedule_after_failure(watch, error)
-        for watches in (self._opening, self._starting):
-            if watch in watches:
-                watches.remove(watch)
-        if watch is self._current:
-            self._current = None
+        self._watches.remove(watch)
         self._wake.set()
 
     def _schedule_after_failure(self, watch: Watch, error: OSError | ValueError) -> None:
@@ -263,22 +251,8 @@
         self._failures += 1
 
     def _promote(self, watch: Watch) -> None:
-        """Follow a watch that has sent a complete line, and end the watches that it replaces.
-
-        The old watch is ended only now: if it were closed earlier, drains would go unnoticed in between. That
-        the response has begun is not enough: a discovery service that is slow may need longer for the line
-        than another watch is waited for, and each would end the one before it.
-        """
-        self._starting.remove(watch)
-        moved = watch.address != self.address
-        unproven = self._opening + self._starting
-        replaced = [other for other in unproven if not moved or other.address == watch.address]
-        for other in [*replaced, *([self._current] if self._current else ())]:
-            other.scope.cancel()
-        self._opening = [other for other in self._opening if other not in replaced]
-        self._starting = [other for other in self._starting if other not in replaced]
-        self._current = watch
-        if not moved:
+        self._watches.promote(watch, self.address)
+        if watch.address == self.address:
             self._last_address, self._failures = watch.address, 0
             self._full_requested = self._full_requested and not watch.full
 
@@ -288,11 +262,11 @@
         try:
             timeout_s = SHARED_RESPONSE_TIMEOUT_S if self._shared else RESPONSE_TIMEOUT_S
             exchange = await watch.request(lambda: self.sequence, timeout_s)
-            if watch not in self._opening or (self._current and watch.address != self.address):
-                return  # another watch has responded, or the address of discovery has changed
-            self._opening.remove(watch)
-            self._starting.append(watch)
-            watch.up, watch.began_us = True, self.engine.clock.now()
+            if watch not in self._watches.opening or (
+                self._watches.current and watch.address != self.address
+            ):
+                return  # another watch is followed, or the address of discovery has changed
+            self._watches.begin(watch, self.engine.clock.now())
             await self._read_updates(watch, exchange)
         finally:
             watch.close()
@@ -303,7 +277,7 @@
         Raises:
             TimeoutError: The watch has not sent its first line in time.
         """
-        if watch not in self._starting:
+        if watch not in self._watches.starting:
             return await exchange.read_data()
         elapsed_s = (self.engine.clock.now() - watch.began_us) / US_PER_S
         with anyio.fail_after(min(STARTING_IDLE_TIMEOUT_S, max(0.0, STARTING_TIMEOUT_S - elapsed_s))):
@@ -314,15 +288,15 @@
         latest = 0  # the highest version that this watch has reported
         while True:
             data = await self._read_data(watch, exchange)
-            if watch is not self._current and watch not in self._starting:
+            if not self._watches.is_read(watch):
                 return  # later data of a replaced watch would undo the newer one's list
             if data is None:
                 raise ConnectionResetError("discovery ended the response of the watch")
             for value in reader.feed(data):
-                if watch in self._starting:
+                if watch in self._watches.starting:
                     self._promote(watch)
                 elif watch.address == self.address and not self._full_requested:
-                    self._end_unproven()  # this one was late, not silent
+                    self._watches.end_unproven()  # this one was late, not silent
                 if value is not None:
                     update = parse_update(value)
                     if update.sequence < latest:
