Judge whether a call is out by whether its caller has left, not by when that was read

Cause: the ledger took a call for one that is out until the stand-in had read the end of its connection.

Change: when a call arrives, the kernel is asked whether the callers of the earlier ones have left. This is as strict: a caller that has not left is found as before (the test's other half), and an answer written behind the end proves nothing.

--- a/pinspread/testbed/delivery_ledger.py
+++ b/pinspread/testbed/delivery_ledger.py
@@ -4,7 +4,7 @@
 """
 
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import NamedTuple
@@ -54,6 +54,10 @@
     in_order: bool = False
 
 
+def _stays() -> bool:
+    return False
+
+
 @dataclass(eq=False)
 class Call:
     """A call that an endpoint received.
@@ -65,6 +69,7 @@
         arrived_s: When its last byte arrived.
         status: The status of its response; None while there is none.
         ended_s: When the response was written or the connection ended; None while the call is out.
+        caller_has_left: Returns whether the caller has ended the connection, by the kernel's knowledge.
     """
 
     message_id: str
@@ -73,6 +78,7 @@
     arrived_s: float
     status: int | None = None
     ended_s: float | None = None
+    caller_has_left: Callable[[], bool] = _stays
 
     def answered(self, status: int) -> None:
         """Record that the response was written, unless the connection ended before."""
@@ -204,10 +210,20 @@
         """Record that the client read that its message was accepted."""
         self.messages[message_id].accepted_s = time.monotonic()
 
-    def call_arrived(self, message_id: str, endpoint: str, begun_s: float) -> Call:
-        """Record a call whose last byte has arrived."""
-        call = Call(message_id, endpoint, begun_s, time.monotonic())
-        self.messages[message_id].calls.append(call)
+    def call_arrived(
+        self, message_id: str, endpoint: str, begun_s: float, caller_has_left: Callable[[], bool] = _stays
+    ) -> Call:
+        """Record a call whose last byte has arrived.
+
+        A stand-in that was busy may read this call before it sees that an earlier one has ended. So it is
+        asked whether the callers of those that are out have left.
+        """
+        calls = self.messages[message_id].calls
+        for earlier in calls:
+            if earlier.ended_s is None and earlier.caller_has_left():
+                earlier.disconnected()
+        call = Call(message_id, endpoint, begun_s, time.monotonic(), caller_has_left=caller_has_left)
+        calls.append(call)
         return call
 
     def notification_arrived(self, message_id: str) -> None:
--- a/pinspread/testbed/faulty_endpoint.py
+++ b/pinspread/testbed/faulty_endpoint.py
@@ -126,7 +126,7 @@
         self._ledger = ledger
         self._plan = plan
 
-    def judge(self, request: ReceivedRequest) -> JudgedRequest | None:
+    def judge(self, request: ReceivedRequest, connection: sockets.Connection) -> JudgedRequest | None:
         """Report a request to the ledger; None for one that is answered without faults, by `answer`."""
         raise NotImplementedError
 
@@ -147,7 +147,7 @@
                     if held:
                         await connection.write(held)
                         held = b""
-                    judged = self.judge(request)
+                    judged = self.judge(request, connection)
                     if judged is None:
                         await self._answer_without_faults(connection, wire, request)
                         continue
@@ -237,11 +237,13 @@
         ledger.endpoint_listed(name, destination)
         self.name = name
 
-    def judge(self, request: ReceivedRequest) -> JudgedRequest | None:
+    def judge(self, request: ReceivedRequest, connection: sockets.Connection) -> JudgedRequest | None:
         """Report a call; a health check is not judged."""
         if request.target != CALL_PATH:
             return None
-        return self._ledger.call_arrived(request.headers["request-id"], self.name, request.received_s)
+        return self._ledger.call_arrived(
+            request.headers["request-id"], self.name, request.received_s, connection.peer_has_left
+        )
 
     def retry_after_sent(self, seconds: float) -> None:
         """Report that an answer with a Retry-After was written."""
--- a/pinspread/testbed/faulty_platform.py
+++ b/pinspread/testbed/faulty_platform.py
@@ -97,7 +97,7 @@
             self._watches.discard(connection)
         return None
 
-    def judge(self, request: ReceivedRequest) -> JudgedRequest | None:
+    def judge(self, request: ReceivedRequest, connection: sockets.Connection) -> JudgedRequest | None:
         """Report notifications; a request to discovery is not judged."""
         if request.target != NOTIFICATION_PATH:
             return None
--- a/tests/test_answer_faults.py
+++ b/tests/test_answer_faults.py
@@ -8,8 +8,9 @@
 from platform_helpers import CourierProcess, acknowledging_platform
 from standins import Client, running_courier, serve_on_loopback, wait_until
 
+from pinspread import sockets
 from pinspread.core.write_check import WriteCheck
-from pinspread.testbed.delivery_ledger import DeliveryLedger
+from pinspread.testbed.delivery_ledger import DeliveryLedger, Rule, SubmittedMessage
 from pinspread.testbed.faulty_endpoint import AnswerFault, FaultyEndpoint, RandomPlan
 from pinspread.testbed.faulty_platform import FaultyPlatform
 from pinspread.testbed.ledger_clients import CLASS_RULES, Load, submit_for
@@ -104,3 +105,25 @@
     assert endpoint.connections and b"POST" not in endpoint.received
     assert [line["state"] for line in platform.lines] == ["returned"]
     assert "unexpected_bytes" in capfd.readouterr().out
+
+
+@pytest.mark.parametrize("closed", [True, False])
+async def test_an_endpoint_that_was_busy_judges_by_the_order_in_which_its_caller_acted(closed):
+    """Guards against a verdict of two calls at once where the first had ended before the second was sent."""
+    ledger = DeliveryLedger(CLASS_RULES)
+    ledger.submitted(SubmittedMessage("m", "status-update", "", 1, 0.0, 1e9))
+    ledger.accepted("m")
+    plan = RandomPlan(SEED, (AnswerFault.SILENCE,), fault_share=1.0)
+    async with serve_on_loopback(FaultyEndpoint(ledger, "s-1", 1, plan)) as address:
+        request = b"POST /events HTTP/1.1\r\nHost: x\r\nRequest-Id: m\r\nContent-Length: 0\r\n\r\n"
+        first, second = await sockets.dial(address), await sockets.dial(address)
+        await first.write(request)
+        await wait_until(lambda: len(ledger.messages["m"].calls) == 1)
+        if closed:
+            first.close()
+        second.sock.send(request)  # the endpoint has not run since the first connection was closed
+        await wait_until(lambda: len(ledger.messages["m"].calls) == 2)
+        broken = {violation.rule for violation in ledger.violations()}
+        assert (Rule.TWO_AT_ONCE in broken) is not closed
+        for connection in (first, second):
+            connection.close()
