--- a/benchmarks/client_floods.py
+++ b/benchmarks/client_floods.py
@@ -16,7 +16,7 @@
 import subprocess
 import tempfile
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import suppress
 from itertools import count
 from pathlib import Path
@@ -45,6 +45,10 @@
     amqp: tuple[str, int]
 
 
+Probe = Callable[[str, float], Awaitable[float | None]]
+"""Returns the slowest answer at an address until a time, in milliseconds; None if there was none."""
+
+
 class Result(NamedTuple):
     """What a scenario showed."""
 
@@ -282,8 +286,8 @@
     leave_s = until_s - END_S  # what a courier does when such a client leaves counts as well
     process = multiprocessing.Process(target=misbehave, args=(addresses, name, clients, leave_s))
 
-    async def note(front: str, work: Callable[[str, float], object], address: str) -> None:
-        slowest[front] = await work(address, until_s)  # type: ignore[misc]
+    async def note(front: str, work: Probe, address: str) -> None:
+        slowest[front] = await work(address, until_s)
 
     async with anyio.create_task_group() as tasks:
         process.start()
